Serve real sockets: one loop and one reducer round the inherited module

Ruled out: hiredis' reader for shelf answers, as the head * alone made it ask for 7 GB; answers have four strings, so the decoder is our own.

--- /dev/null
+++ b/kelpcroft/__main__.py
@@ -0,0 +1,42 @@
+"""One request router, as its environment describes it.  Exit codes: 0 asked to end, 2 bad configuration."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+import sys
+
+from kelpcroft.config import ConfigError, load
+from kelpcroft.net.loop import Clock, Loop
+
+
+def main() -> int:
+    """Serve until SIGTERM or SIGINT."""
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"configuration: {error}", file=sys.stderr)
+        return 2
+    ours, theirs = socket.socketpair()
+    for end in (ours, theirs):
+        end.setblocking(False)
+    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)  # the byte on the socket is what the loop sees
+    loop = Loop(config, Clock())
+    gc.freeze()  # what is there by now stays; collections need not look at it
+    try:
+        loop.run(ours)
+    except OSError as error:
+        if loop.accepting:
+            raise
+        host, port = config.listen
+        print(f"configuration: listen: {host}:{port}: {error.strerror}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kelpcroft/config.py
@@ -0,0 +1,118 @@
+"""The environment and its JSON as one typed Config.  What cannot be used is named by its key."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from kelpcroft.messages import News
+from kelpcroft.net.feed import FeedError, news_of
+from zincgrade.interface import Settings, SettingsError
+from zincgrade.simhost import Kinds, settings_of
+
+NS_PER_MS = 1_000_000
+LEAST_SOCKETS = 64          # under this no useful number of clients and servers fits
+
+
+class ConfigError(ValueError):
+    """A value that cannot be used; the text names its key."""
+
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a router is told at its start."""
+
+    name: str
+    listen: Address
+    feed: Address
+    sockets: int
+    memory_mb: int
+    max_streams: int         # attempts that one connection to a server carries
+    idle_ns: int             # servers close a connection that has been idle for so long
+    dial_ns: int
+    settings: Settings
+    kinds: Kinds
+    known: News
+
+
+def address_of(key: str, text: Any) -> Address:
+    """``host:port`` as a socket wants it."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ConfigError(f"{key}: {text!r} is not an address as host:port")
+    return host, int(port)
+
+
+def number(key: str, value: Any, least: int, default: int | None = None) -> int:
+    """A number of at least so much."""
+    if value is None and default is not None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
+        raise ConfigError(f"{key}: {value!r} is not a number of at least {least}")
+    return int(value)
+
+
+def table(key: str, value: Any) -> dict[str, Any]:
+    """A JSON object."""
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: {'is missing' if value is None else 'is not an object'}")
+    return value
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the environment, and the file that it names."""
+    path = environ.get("ROUTER_CONFIG", "")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: is not set")
+    try:
+        raw = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from error
+    return parse(table("ROUTER_CONFIG", raw), environ)
+
+
+def parse(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """The JSON's values; ROUTER_NAME and ROUTER_LISTEN go before what it says."""
+    limits = table("limits", raw.get("limits", {}))
+    options = table("settings", raw.get("settings"))
+    try:
+        seed = int(raw.get("seed", "0"), 16)
+    except (TypeError, ValueError) as error:
+        raise ConfigError(f"seed: {raw.get('seed')!r} is not a hexadecimal number") from error
+    try:
+        settings = settings_of(options, seed)
+        kinds = Kinds(options)
+    except SettingsError as error:
+        raise ConfigError(f"settings.{error}") from error
+    except KeyError as error:
+        raise ConfigError(f"settings: {error} is missing") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"settings: {error}") from error
+    lim = table("settings.limits", options.get("limits", {}))
+    try:
+        known = news_of(table("known", raw.get("known")))
+    except FeedError as error:
+        raise ConfigError(f"known: {error}") from error
+    name = environ.get("ROUTER_NAME") or raw.get("name")
+    if not isinstance(name, str) or not name:
+        raise ConfigError("name: is missing, and so is ROUTER_NAME")
+    listen = environ.get("ROUTER_LISTEN")
+    return Config(
+        name=name,
+        listen=address_of("ROUTER_LISTEN" if listen else "listen", listen or raw.get("listen")),
+        feed=address_of("feed", raw.get("feed")),
+        sockets=number("limits.sockets", limits.get("sockets"), LEAST_SOCKETS, 1024),
+        memory_mb=number("limits.memory_mb", limits.get("memory_mb"), 1, 192),
+        max_streams=number("settings.limits.max_streams", lim.get("max_streams"), 1, 1),
+        idle_ns=number("settings.limits.conn_idle_ns", lim.get("conn_idle_ns"), 0, 0),
+        dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
+        settings=settings, kinds=kinds, known=known)
--- /dev/null
+++ b/kelpcroft/invariants.py
@@ -0,0 +1,20 @@
+"""What must always hold: asserted in debug builds, counted in release builds (python -O)."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+broken: Counter[str] = Counter()
+
+
+def holds(condition: bool, name: str) -> bool:
+    """Whether it holds.  A debug build stops where it does not; a release build counts it and goes on."""
+    if not condition:
+        broken[name] += 1
+        assert condition, name
+    return condition
+
+
+def counts() -> str:
+    """The counts for the log; empty while nothing has been broken."""
+    return ", ".join(f"{name}: {n}" for name, n in sorted(broken.items()))
--- /dev/null
+++ b/kelpcroft/links.py
@@ -0,0 +1,71 @@
+"""Connections to servers as the reducer keeps them: which stand, and what is out on each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from kelpcroft.messages import Endpoint
+
+
+@dataclass(slots=True)
+class Link:
+    """One connection to a server.  Ids on it are the clients' trace ids, or a probe's own."""
+
+    number: int
+    server: str
+    up: bool = False
+    waiting: dict[str, int] = field(default_factory=dict)    # not written, as it does not stand yet
+    out: dict[str, int] = field(default_factory=dict)        # written and unanswered
+    killed: dict[str, int] = field(default_factory=dict)     # given up, and when: an answer may still come
+    heard_ns: int = 0                                        # last answer
+    idle_ns: int = 0                                         # when it last had something out
+    shunned: bool = False                                    # takes nothing new; closed once empty
+
+    def load(self) -> int:
+        """Attempts that it carries."""
+        return len(self.waiting) + len(self.out)
+
+    def takes(self, id: str, most: int) -> bool:
+        """Whether one more may go out here.  An id that was given up here must not be used here again: the
+        first one's answer, if it crossed the KILL, would be taken for the second's."""
+        return (not self.shunned and self.load() < most and id not in self.waiting and id not in self.out
+                and id not in self.killed)
+
+
+class Links:
+    """All connections to servers, by number and by server."""
+
+    def __init__(self, most: int, streams: int) -> None:
+        self.most, self.streams = most, streams
+        self.by_number: dict[int, Link] = {}
+        self.by_server: dict[str, list[Link]] = {}
+        self.made = 0
+
+    def find(self, server: str, id: str) -> Link | None:
+        """A connection with room: one that stands before one that is being opened, the fullest first, so that
+        few are open and the rest fall idle."""
+        best = None
+        for link in self.by_server.get(server, ()):
+            if link.takes(id, self.streams) and (
+                    best is None or (link.up, link.load()) > (best.up, best.load())):
+                best = link
+        return best
+
+    def add(self, endpoint: Endpoint) -> Link | None:
+        """A new one, to be opened; None when there are too many."""
+        if len(self.by_number) >= self.most:
+            return None
+        self.made += 1
+        link = self.by_number[self.made] = Link(self.made, endpoint.name)
+        self.by_server.setdefault(endpoint.name, []).append(link)
+        return link
+
+    def remove(self, number: int) -> Link | None:
+        """One that has ended."""
+        link = self.by_number.pop(number, None)
+        if link:
+            rest = self.by_server[link.server]
+            rest.remove(link)
+            if not rest:
+                del self.by_server[link.server]
+        return link
--- /dev/null
+++ b/kelpcroft/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and codecs.  Nothing here decides anything: see kelpcroft/reducer.py."""
--- /dev/null
+++ b/kelpcroft/net/buffers.py
@@ -0,0 +1,108 @@
+"""Buffers of one size, used again from a pool, and what waits to be written in them."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+from kelpcroft.invariants import holds
+from kelpcroft.messages import Body
+
+SIZE = 64 * 1024
+PIECES_MOST = 64             # of one gathering write; the system takes 1,024
+
+
+class BufferPool:
+    """Hands buffers out and takes them back; ``most`` bounds those that are out."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.out = most, 0
+        self.free: list[bytearray] = []
+
+    def take(self) -> bytearray | None:
+        """A buffer, or None when all are out."""
+        if self.out >= self.most:
+            return None
+        self.out += 1
+        return self.free.pop() if self.free else bytearray(SIZE)
+
+    def give(self, buffer: bytearray) -> None:
+        """A buffer comes back."""
+        if holds(self.out > 0 and len(buffer) == SIZE, "a buffer goes back once"):
+            self.out -= 1
+            self.free.append(buffer)
+
+
+class Backlog:
+    """Bytes for one connection.  Pieces of this turn of the loop are written straight from where they lie;
+    what the system does not take at once is copied into pooled buffers, so that memory is counted there."""
+
+    def __init__(self, pool: BufferPool) -> None:
+        self.pool = pool
+        self.pieces: list[Body] = []             # of this turn
+        self.stored: deque[bytearray] = deque()  # pooled: the first from ``start``, the last up to ``end``
+        self.start = self.end = 0
+
+    def add(self, pieces: list[Body] | tuple[Body, ...]) -> None:
+        """More bytes to write."""
+        self.pieces += pieces
+
+    def size(self) -> int:
+        """Bytes stored, those of this turn left out."""
+        return (len(self.stored) - 1) * SIZE + self.end - self.start if self.stored else 0
+
+    def write(self, sock: socket.socket) -> bool:
+        """Write what the socket takes; False where the pool has no room for the rest.  May raise OSError."""
+        while self.stored:
+            last = len(self.stored) == 1
+            view = memoryview(self.stored[0])[self.start:self.end if last else SIZE]
+            try:
+                sent = sock.send(view)
+            except BlockingIOError:
+                return self.store(0, 0)
+            self.start += sent
+            if sent < len(view):
+                return self.store(0, 0)
+            self.pool.give(self.stored.popleft())
+            self.start = 0
+        pieces, at = self.pieces, 0
+        while at < len(pieces):
+            batch = pieces[at:at + PIECES_MOST]
+            try:
+                sent = sock.sendmsg(batch)
+            except BlockingIOError:
+                return self.store(at, 0)
+            for piece in batch:
+                if sent < len(piece):
+                    return self.store(at, sent)
+                sent -= len(piece)
+                at += 1
+        self.pieces = []
+        return True
+
+    def store(self, at: int, skip: int) -> bool:
+        """Copy the pieces from one on, less some bytes of it, into pooled buffers."""
+        pieces, self.pieces = self.pieces[at:], []
+        for piece in pieces:
+            view = memoryview(piece)[skip:]
+            skip = 0
+            while view:
+                if not self.stored or self.end == SIZE:
+                    buffer = self.pool.take()
+                    if buffer is None:
+                        return False
+                    if not self.stored:
+                        self.start = 0
+                    self.stored.append(buffer)
+                    self.end = 0
+                take = min(len(view), SIZE - self.end)
+                self.stored[-1][self.end:self.end + take] = view[:take]
+                self.end += take
+                view = view[take:]
+        return True
+
+    def clear(self) -> None:
+        """Give all buffers back."""
+        while self.stored:
+            self.pool.give(self.stored.popleft())
+        self.pieces = []
--- /dev/null
+++ b/kelpcroft/net/front.py
@@ -0,0 +1,116 @@
+"""Clients' MessagePack-RPC: bytes in, messages out, and answers as bytes.  No socket here."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+
+from kelpcroft.messages import AskHealth, Body, Call, CallOff
+
+NS_PER_MS = 1_000_000
+BODY_MOST = 240_000          # bytes of a request's body; the protocol's writes carry up to 48,000
+FIELDS_MOST = 64             # fields of a request
+TEXT_MOST = 1_024            # bytes of a field
+PATIENCE_MOST_MS = 60_000    # longer patience is cut to this, so that nothing is held for ever
+CANCELS_MOST = 1_024         # calls in one cancel
+HEX = frozenset("0123456789abcdefABCDEF")
+EMPTY_MAP, SAME = b"\x80", msgpack.packb({"keep": "1"})
+
+
+class FrontError(ValueError):
+    """Bytes that are no message of this protocol."""
+
+
+class FrontCodec:
+    """One client's connection."""
+
+    def __init__(self, client: int, read_size: int) -> None:
+        self.client = client
+        self.unpacker = msgpack.Unpacker(
+            raw=False, read_size=4_096, max_buffer_size=BODY_MOST + 65_536 + read_size,
+            max_str_len=TEXT_MOST, max_bin_len=BODY_MOST, max_array_len=CANCELS_MOST,
+            max_map_len=FIELDS_MOST, max_ext_len=0)
+
+    def feed(self, data: memoryview) -> list[Call | CallOff | AskHealth]:
+        """The messages that these bytes complete."""
+        found: list[Call | CallOff | AskHealth] = []
+        try:
+            self.unpacker.feed(data)
+            for raw in self.unpacker:
+                found += self.message(raw)
+        except FrontError:
+            raise
+        except Exception as error:  # msgpack raises many kinds, all of them for bytes that are not its own
+            raise FrontError(f"{type(error).__name__}: {error}") from error
+        return found
+
+    def message(self, raw: Any) -> list[Call | CallOff | AskHealth]:
+        """One decoded message."""
+        if isinstance(raw, list) and len(raw) == 3 and raw[0] == 2:
+            if raw[1] == "cancel" and isinstance(raw[2], list) and all(type(x) is int for x in raw[2]):
+                return [CallOff(self.client, x) for x in raw[2]]
+        elif isinstance(raw, list) and len(raw) == 4 and raw[0] == 0:
+            _, call, method, params = raw
+            if (type(call) is int and 0 < call < 1 << 32 and isinstance(method, str)
+                    and isinstance(params, list) and params and isinstance(params[0], dict)):
+                if method == "health":
+                    return [AskHealth(self.client, call)]
+                if len(params) == 2 and isinstance(params[1], (bytes, str)):
+                    return [self.call(call, method, params[0], params[1])]
+        raise FrontError(f"not a request, a cancel or a health check: {str(raw)[:80]}")
+
+    def call(self, call: int, cls: str, fields: dict[str, Any], body: bytes | str) -> Call:
+        """A request's fields, each checked."""
+        trace, item = self.hexadecimal(fields, "trace"), self.hexadecimal(fields, "entity")
+        part = fields.get("block", "0")
+        tag = fields.get("cached", "")
+        if not isinstance(tag, str) or "," in tag:
+            raise FrontError(f"cached: {tag!r} is not a tag")
+        patience = min(self.count(fields, "patience", None), PATIENCE_MOST_MS)
+        return Call(
+            client=self.client, call=call, cls=cls, trace=trace, patience_ns=patience * NS_PER_MS,
+            object=item, part=part, object_number=int(item, 16), part_number=self.count(fields, "block", "0"),
+            group=self.count(fields, "family", "0"), retry=fields.get("redo") == "1", tag=tag,
+            body=body.encode() if isinstance(body, str) else body)
+
+    @staticmethod
+    def hexadecimal(fields: dict[str, Any], key: str) -> str:
+        """A field of hex digits."""
+        text = fields.get(key)
+        if not isinstance(text, str) or not 0 < len(text) <= 16 or not HEX.issuperset(text):
+            raise FrontError(f"{key}: {text!r} is not hex digits")
+        return text
+
+    @staticmethod
+    def count(fields: dict[str, Any], key: str, absent: str | None) -> int:
+        """A field that counts something."""
+        text = fields.get(key, absent)
+        if not isinstance(text, str) or not text.isascii() or not text.isdigit() or len(text) > 12:
+            raise FrontError(f"{key}: {text!r} is not a whole number")
+        return int(text)
+
+
+def served(call: int, body: Body, same: bool) -> tuple[Body, ...]:
+    """A served answer, in pieces so that its bytes are not copied."""
+    size = len(body)
+    head = b"\x94\x01" + msgpack.packb(call) + b"\xc0\x92" + (
+        b"\xc4" + size.to_bytes(1, "big") if size < 1 << 8 else
+        b"\xc5" + size.to_bytes(2, "big") if size < 1 << 16 else b"\xc6" + size.to_bytes(4, "big"))
+    return (head, body, SAME if same else EMPTY_MAP) if size else (head + (SAME if same else EMPTY_MAP),)
+
+
+def refused(call: int, pause_ns: int) -> bytes:
+    """A refusal; a pause is rounded up, so that nobody comes back early."""
+    fields = {"pause": str(-(-pause_ns // NS_PER_MS))} if pause_ns > 0 else {}
+    return bytes(msgpack.packb([1, call, ["Shed", fields], None]))
+
+
+def failed(call: int) -> bytes:
+    """A failure."""
+    return bytes(msgpack.packb([1, call, ["Fault", {}], None]))
+
+
+def health(call: int, fit: bool) -> bytes:
+    """The answer to a health check."""
+    return bytes(msgpack.packb([1, call, None, [fit, {}]]))
--- /dev/null
+++ b/kelpcroft/net/loop.py
@@ -0,0 +1,447 @@
+"""The one loop: sockets, wake-ups, and the carrying out of what the reducer asks for."""
+
+from __future__ import annotations
+
+import errno
+import heapq
+import selectors
+import socket
+import sys
+import time
+from collections.abc import Callable
+
+from kelpcroft import messages as m
+from kelpcroft.config import Config
+from kelpcroft.net import front, shelf
+from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
+from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
+from kelpcroft.reducer import Reducer
+
+SECOND = 1_000_000_000
+READS = 4                    # buffers read from one connection before the others have their turn
+ACCEPTS = 64                 # connections accepted before the others have their turn
+POLL_WAIT_MS = 1_000         # a short wait, as only a silent one tells of a cut link
+POLL_LATE_NS = 1_400_000_000  # a poll that is out for so long is lost
+SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
+STUCK_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
+POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
+SPARE_CLIENTS = 8            # connections accepted over the clients' share
+LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
+
+
+
+class Clock:
+    """Unix nanoseconds that never run back."""
+
+    def __init__(self, source: Callable[[], int] = time.time_ns) -> None:
+        self.source, self.last = source, 0
+
+    def now(self) -> int:
+        self.last = max(self.last, self.source())
+        return self.last
+
+
+class Peer:
+    """A connection of any kind."""
+
+    order = 0                    # in one turn of the loop, lower ones are read first
+
+    def __init__(self, sock: socket.socket, pool: BufferPool, now: int) -> None:
+        self.sock = sock
+        self.backlog = Backlog(pool)
+        self.up = False
+        self.events = 0          # registered with the selector
+        self.moved_ns = now      # when something was last written, or nothing waited
+
+
+class Client(Peer):
+    """A client's connection."""
+
+    order = 2
+
+    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
+        super().__init__(sock, pool, now)
+        self.number, self.codec, self.up = number, front.FrontCodec(number, SIZE), True
+
+
+class Server(Peer):
+    """A connection to a cache, a parent or the origin."""
+
+    order = 1
+
+    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
+        super().__init__(sock, pool, now)
+        self.number, self.codec = number, shelf.ShelfCodec(number)
+
+
+class Feed(Peer):
+    """A connection to the feed, with the poll that is out on it."""
+
+    def __init__(self, sock: socket.socket, pool: BufferPool, now: int) -> None:
+        super().__init__(sock, pool, now)
+        self.codec = FeedCodec()
+        self.polled_ns = now
+        self.waits = False
+
+
+class Loop:
+    """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock = config, clock
+        self.reducer = Reducer(config)
+        self.selector = selectors.DefaultSelector()
+        self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)
+        self.clients: dict[int, Client] = {}
+        self.servers: dict[int, Server] = {}
+        self.feed: Feed | None = None
+        self.most_clients = config.sockets // 3 + SPARE_CLIENTS
+        self.listener: socket.socket | None = None
+        self.accepting = False
+        self.made = 0
+        self.heap: list[tuple[int, int, m.Key]] = []
+        self.dirty: dict[Peer, None] = {}
+        self.lost: list[tuple[Peer, str]] = []
+        self.stopping = False
+        self.stuck_ns = 0
+        self.signals: socket.socket | None = None
+
+    # Start and end ----------------------------------------------------------------------------------------
+
+    def run(self, signals: socket.socket | None = None) -> None:
+        """Serve until the reducer asks for the end."""
+        self.signals = signals
+        if signals:
+            self.selector.register(signals, selectors.EVENT_READ, None)
+        self.carry_out(self.reducer.start(self.clock.now()))
+        self.listen()
+        self.tell(m.Listening())
+        while not self.stopping:
+            self.turn()
+        self.linger()
+
+    def listen(self) -> None:
+        """Take clients at the one address that was named."""
+        family = socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(self.config.listen)
+        self.listener.listen(1024)
+        self.accept_more(True)
+        self.log(f"{self.config.name} listens on {self.config.listen[0]}:{self.listener.getsockname()[1]}")
+
+    def accept_more(self, on: bool) -> None:
+        """Watch the listener or leave it alone."""
+        if self.listener and on != self.accepting:
+            self.accepting = on
+            if on:
+                self.selector.register(self.listener, selectors.EVENT_READ, None)
+            else:
+                self.selector.unregister(self.listener)
+
+    def linger(self) -> None:
+        """Flush, then let clients read to the end: a close with input unread would reset the connection."""
+        for client in self.clients.values():
+            try:
+                client.backlog.write(client.sock)
+                client.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                pass
+        until = self.clock.now() + LINGER_NS
+        while self.clients and self.clock.now() < until:
+            for key, _ in self.selector.select((until - self.clock.now()) / SECOND):
+                if isinstance(key.data, Client):
+                    try:
+                        ended = not key.data.sock.recv(SIZE)
+                    except BlockingIOError:
+                        ended = False
+                    except OSError:
+                        ended = True
+                    if ended:
+                        self.close(key.data)
+                else:
+                    self.selector.unregister(key.fileobj)
+
+    # One turn ---------------------------------------------------------------------------------------------
+
+    def turn(self) -> None:
+        """Wait, read, let what is due come due, write."""
+        now = self.clock.now()
+        wait = max(0, self.heap[0][0] - now) / SECOND if self.heap else 1.0
+        ready = self.selector.select(min(wait, 1.0))
+        # News of the list and of purges before answers, answers before new requests.
+        for key, events in sorted(ready, key=lambda r: getattr(r[0].data, "order", 3)):
+            peer = key.data
+            if peer is None:
+                if key.fileobj is self.listener:
+                    self.accept()
+                elif self.signals:
+                    self.signals.recv(SIZE)
+                    self.tell(m.Terminate())
+                continue
+            if peer.sock.fileno() < 0:
+                continue  # closed by what came before it in this turn
+            if events & selectors.EVENT_WRITE:
+                self.writable(peer)
+            if events & selectors.EVENT_READ and peer.sock.fileno() >= 0:
+                self.read(peer)
+        now = self.clock.now()
+        while self.heap and self.heap[0][0] <= now and not self.stopping:
+            self.tell(m.Due(heapq.heappop(self.heap)[2]))
+        if self.feed and self.feed.waits and now - self.feed.polled_ns > POLL_LATE_NS:
+            self.lose(self.feed, "no answer in time")
+        if now - self.stuck_ns > SECOND:
+            self.close_stuck(now)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what this turn asked for; a failed write is an input, and may ask for more."""
+        while self.dirty or self.lost:
+            dirty, self.dirty = self.dirty, {}
+            for peer in dirty:
+                if peer.up and peer.sock.fileno() >= 0:
+                    self.write(peer)
+            lost, self.lost = self.lost, []
+            for peer, why in lost:
+                self.lose(peer, why)
+
+    def tell(self, message: m.Input) -> None:
+        """One input to the reducer, and what it asks for."""
+        self.carry_out(self.reducer.handle(self.clock.now(), message))
+
+    # Effects ----------------------------------------------------------------------------------------------
+
+    def carry_out(self, effects: list[m.Effect]) -> None:
+        for e in effects:
+            if isinstance(e, m.Wake):
+                self.made += 1
+                heapq.heappush(self.heap, (e.at_ns, self.made, e.key))
+            elif isinstance(e, m.Serve):
+                self.answer(e.client, front.served(e.call, e.body, e.same))
+            elif isinstance(e, m.Pull):
+                self.send(e.link, shelf.pull(e))
+            elif isinstance(e, m.Kill):
+                self.send(e.link, shelf.kill(e))
+            elif isinstance(e, m.Decline):
+                self.answer(e.client, (front.refused(e.call, e.pause_ns),))
+            elif isinstance(e, m.Break):
+                self.answer(e.client, (front.failed(e.call),))
+            elif isinstance(e, m.TellHealth):
+                self.answer(e.client, (front.health(e.call, e.fit),))
+            elif isinstance(e, m.Dial):
+                self.dial(e)
+            elif isinstance(e, m.Drop):
+                server = self.servers.get(e.link)
+                if server:
+                    self.close(server)
+            elif isinstance(e, m.Check):
+                self.send(e.link, shelf.check(e))
+            elif isinstance(e, m.Poll):
+                self.poll(e)
+            elif isinstance(e, m.HangUp):
+                client = self.clients.get(e.client)
+                if client:
+                    self.lost.append((client, e.why))
+            elif isinstance(e, m.Log):
+                self.log(e.text)
+            elif isinstance(e, m.StopAccepting):
+                self.accept_more(False)
+                if self.listener:
+                    self.listener.close()
+            else:
+                self.flush()
+                self.stopping = True
+
+    def answer(self, number: int, pieces: tuple[m.Body, ...]) -> None:
+        client = self.clients.get(number)
+        if client:
+            client.backlog.add(pieces)
+            self.dirty[client] = None
+
+    def send(self, number: int, pieces: list[m.Body]) -> None:
+        server = self.servers.get(number)
+        if server:
+            server.backlog.add(pieces)
+            self.dirty[server] = None
+
+    def connect(self, address: tuple[str, int]) -> socket.socket:
+        """A connection under way.  OSError where even that cannot be had."""
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, errno.errorcode.get(code, "?"))
+        return sock
+
+    def dial(self, e: m.Dial) -> None:
+        host, _, port = e.address.rpartition(":")
+        now = self.clock.now()
+        try:
+            sock = self.connect((host, int(port)))
+        except OSError as error:
+            # Said in a turn of its own: the reducer is in the middle of what asked for it.
+            self.servers[e.link] = Server(e.link, socket.socket(), self.pool, now)
+            self.lost.append((self.servers[e.link], str(error)))
+            return
+        self.servers[e.link] = Server(e.link, sock, self.pool, now)
+        self.watch(self.servers[e.link], selectors.EVENT_WRITE)
+
+    def poll(self, e: m.Poll) -> None:
+        now = self.clock.now()
+        if self.feed is None:
+            try:
+                self.feed = Feed(self.connect(self.config.feed), self.pool, now)
+            except OSError as error:
+                self.feed = Feed(socket.socket(), self.pool, now)
+                self.lost.append((self.feed, str(error)))
+                return
+            self.watch(self.feed, selectors.EVENT_WRITE)
+        feed = self.feed
+        feed.polled_ns, feed.waits = now, True
+        feed.backlog.add((poll_request(self.config.feed, e.after, POLL_WAIT_MS),))
+        self.dirty[feed] = None
+
+    # Sockets ----------------------------------------------------------------------------------------------
+
+    def watch(self, peer: Peer, events: int) -> None:
+        """What the selector is to say of a connection."""
+        if events == peer.events:
+            return
+        if not peer.events:
+            self.selector.register(peer.sock, events, peer)
+        elif events:
+            self.selector.modify(peer.sock, events, peer)
+        else:
+            self.selector.unregister(peer.sock)
+        peer.events = events
+
+    def wanted(self, peer: Peer) -> int:
+        """Read, unless it is a client that does not read itself; write, where something waits."""
+        waits = peer.backlog.size()
+        return (0 if isinstance(peer, Client) and waits > SLOW_BYTES else selectors.EVENT_READ) | (
+            selectors.EVENT_WRITE if waits else 0)
+
+    def accept(self) -> None:
+        assert self.listener
+        for _ in range(ACCEPTS):
+            if len(self.clients) >= self.most_clients:
+                self.log(f"{len(self.clients)} clients: no more are taken until one goes")
+                self.accept_more(False)
+                return
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log(f"accept: {error}")
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.made += 1
+            client = self.clients[self.made] = Client(self.made, sock, self.pool, self.clock.now())
+            self.watch(client, selectors.EVENT_READ)
+
+    def writable(self, peer: Peer) -> None:
+        if not peer.up:
+            code = peer.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self.lose(peer, errno.errorcode.get(code, str(code)))
+                return
+            peer.up = True
+            if isinstance(peer, Server):
+                self.tell(m.LinkUp(peer.number))
+        self.write(peer)
+
+    def write(self, peer: Peer) -> None:
+        before = peer.backlog.size()
+        try:
+            room = peer.backlog.write(peer.sock)
+        except OSError as error:
+            self.lost.append((peer, f"write: {error.strerror}"))
+            return
+        after = peer.backlog.size()
+        if not after or after < before:
+            peer.moved_ns = self.clock.now()
+        if not room:
+            self.lost.append((peer, "no buffers left for what it does not read"))
+            return
+        self.watch(peer, self.wanted(peer))
+
+    def read(self, peer: Peer) -> None:
+        """A few buffers from one connection."""
+        buffer = self.pool.take()
+        if buffer is None:
+            self.lose(peer, "no buffer to read into")
+            return
+        try:
+            for _ in range(READS):
+                got = peer.sock.recv_into(buffer)
+                if not got:
+                    self.lose(peer, "")
+                    return
+                self.take_in(peer, memoryview(buffer)[:got])
+                if got < SIZE or peer.sock.fileno() < 0:
+                    return
+        except BlockingIOError:
+            pass
+        except (front.FrontError, shelf.ShelfError, FeedError) as error:
+            self.lose(peer, f"malformed: {error}")
+        except OSError as error:
+            self.lose(peer, error.strerror or str(error))
+        finally:
+            self.pool.give(buffer)
+
+    def take_in(self, peer: Peer, data: memoryview) -> None:
+        """Bytes to their codec, what it makes of them to the reducer."""
+        if isinstance(peer, Feed):
+            for news in peer.codec.feed(data):
+                peer.waits = False
+                if not peer.codec.keeps:
+                    self.close(peer)
+                self.tell(news)
+        elif isinstance(peer, (Client, Server)):
+            for message in peer.codec.feed(data):
+                self.tell(message)
+
+    def lose(self, peer: Peer, why: str) -> None:
+        """A connection has ended: its socket goes, and the reducer hears of it."""
+        if isinstance(peer, Client):
+            if peer.number in self.clients:
+                self.close(peer)
+                if why:
+                    self.log(f"client {peer.number}: {why}")
+                self.tell(m.ClientLost(peer.number))
+        elif isinstance(peer, Server) and peer.number in self.servers:
+            self.close(peer)
+            self.tell(m.LinkLost(peer.number, why or "closed by the server"))
+        elif isinstance(peer, Feed) and peer is self.feed:
+            self.close(peer)
+            self.tell(m.FeedLost(why or "closed"))
+
+    def close(self, peer: Peer) -> None:
+        if peer.events:
+            self.watch(peer, 0)
+        peer.backlog.clear()
+        self.dirty.pop(peer, None)
+        peer.sock.close()
+        if isinstance(peer, Client):
+            self.clients.pop(peer.number, None)
+            if len(self.clients) < self.most_clients and not self.reducer.ending:
+                self.accept_more(True)
+        elif isinstance(peer, Server):
+            self.servers.pop(peer.number, None)
+        elif peer is self.feed:
+            self.feed = None
+
+    def close_stuck(self, now: int) -> None:
+        """Connections that take nothing any more give their buffers back."""
+        self.stuck_ns = now
+        for peer in [*self.clients.values(), *self.servers.values()]:
+            if peer.backlog.size() and now - peer.moved_ns > STUCK_NS:
+                self.lose(peer, "takes nothing any more")
+
+    def log(self, text: str) -> None:
+        print(text, file=sys.stderr, flush=True)
