--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -202,7 +202,7 @@
         self.sent += work
 
     def recent(self, since: int) -> float:
-        """Sending time sent there after a time, which only advances.  The sum is kept: adding the window up for
+        """Sending time sent there after a time, which only advances.  A kept sum: adding the window up for
         each request of a zone with a cold cache took all of a busy router's CPU."""
         while self.window and self.window[0][0] <= since:
             self.sent -= self.window.popleft()[1]
