--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,125 @@
+"""Parts of the program on their own: one test for each failure found, and for what guards against one."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+import msgpack
+from player import EXAMPLE
+
+from kelpcroft import messages as m
+from kelpcroft.config import parse
+from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
+from kelpcroft.net.front import FrontCodec
+from kelpcroft.net.loop import CLIENTS_NS, Client, Clock, Loop
+from kelpcroft.net.shelf import ShelfCodec, ShelfError
+from kelpcroft.reducer import MS, Reducer
+from zincgrade.interface import Note, Outcome
+
+NOW = 1_764_576_000 * 1_000 * MS
+
+
+def call(number: int, item: str = "0a", patience: int = 2_000) -> m.Call:
+    trace = f"{number:016x}"
+    return m.Call(1, number, "page", trace, patience * MS, item, "0", int(item, 16), 0, 17, False, "", b"")
+
+
+def router() -> Reducer:
+    made = Reducer(parse(EXAMPLE, {}))
+    made.start(NOW)
+    made.handle(NOW, m.Listening())
+    return made
+
+
+def only(kind: type, effects: list[m.Effect]) -> list[m.Effect]:
+    return [e for e in effects if isinstance(e, kind)]
+
+
+class Parts(unittest.TestCase):
+    def test_patience_counts_from_the_send(self) -> None:
+        """Requests that had waited unread in a busy router were answered after their clients had gone."""
+        data = msgpack.packb([0, 1, "page", [{"trace": "01", "patience": "900", "entity": "0a"}, b""]])
+        (taken,) = FrontCodec(1, SIZE).feed(memoryview(data), 400 * MS)
+        assert isinstance(taken, m.Call)
+        self.assertEqual(taken.patience_ns, 500 * MS)
+
+    def test_requests_are_read_for_a_bounded_time(self) -> None:
+        """All clients were read before the feed was looked at again; turns grew longer than the purge rule
+        allows.  What is left over remembers since when it may have waited."""
+        ticks = iter(range(NOW, NOW + 10**12, CLIENTS_NS // 2))
+        loop = Loop(parse(EXAMPLE, {}), Clock(lambda: next(ticks)))
+        self.addCleanup(loop.selector.close)
+        served: list[int] = []
+        loop.serve = lambda peer, events: served.append(peer.number)  # type: ignore[method-assign]
+        peers = [Client(n, socket.socket(), loop.pool, NOW) for n in range(6)]
+        for peer in peers:
+            self.addCleanup(peer.sock.close)
+        loop.take_requests([(peer, 1) for peer in peers], NOW - 5)
+        self.assertTrue(0 < len(served) < 6)
+        self.assertTrue(all(p.ready_ns == NOW - 5 for p in peers[len(served):]))
+
+    def test_waits_for_a_connection_are_chosen_anew_on_a_purge(self) -> None:
+        """An attempt without an age limit must not be sent up to a dial's time after the purge was told."""
+        r = router()
+        (dial,) = only(m.Dial, r.handle(NOW, call(1)))
+        r.handle(NOW + MS, m.News(2, (m.Purge(10, 0, NOW),)))
+        (pull,) = only(m.Pull, r.handle(NOW + 2 * MS, m.LinkUp(2)))
+        self.assertGreater(pull.age_limit_ms, 0)
+
+    def test_a_given_up_id_is_kept_off_its_connection(self) -> None:
+        """An answer that crossed its KILL would pass for that of the next attempt with the same id."""
+        r = router()
+        (dial,) = only(m.Dial, r.handle(NOW, call(1)))
+        r.handle(NOW, m.LinkUp(dial.link))
+        (kill,) = only(m.Kill, r.handle(NOW, m.CallOff(1, 1)))
+        self.assertIsNone(r.links.find(r.links.by_number[dial.link].server, kill.id))
+        late = m.Answer(dial.link, kill.id, Outcome.OK, Note.HIT, 0, {}, False, b"late")
+        self.assertEqual(r.handle(NOW, late), [])
+
+    def test_a_small_age_limit_is_never_none(self) -> None:
+        """0 on the wire means the fresh time: a limit under a millisecond would have allowed any copy."""
+        r = router()
+        (dial,) = only(m.Dial, r.handle(NOW, call(1)))
+        r.handle(NOW, m.LinkUp(dial.link))
+        r.handle(NOW + MS, m.News(2, (m.Purge(10, 0, NOW + MS),)))
+        (pull,) = only(m.Pull, r.handle(NOW + MS, call(2)))
+        self.assertEqual(pull.age_limit_ms, 1)
+
+    def test_answers_in_any_pieces(self) -> None:
+        """mypyc once took the codec's body for absent for good; each cut of the bytes gives the same."""
+        data = (b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$8\r\ntell=old\r\n$5\r\nby\r\nt\r\n"
+                b"*4\r\n$1\r\nb\r\n$4\r\nLACK\r\n$1\r\n-\r\n$0\r\n\r\n")
+        for cut in range(len(data)):
+            codec = ShelfCodec(1)
+            found = codec.feed(memoryview(data)[:cut]) + codec.feed(memoryview(data)[cut:])
+            self.assertEqual([(a.id, a.outcome, a.note, bytes(a.body)) for a in found], [
+                ("a", Outcome.OK, Note.STALE, b"by\r\nt"), ("b", Outcome.MISS, Note.NONE, b"")])
+
+    def test_what_is_no_answer(self) -> None:
+        for bad in (b"*900000000\r\n", b"+OK\r\n", b"*4\r\n$2\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$0\r\n\r\n",
+                    b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$999999\r\n", b"*4\r\n$" + b"1" * 5_000):
+            with self.subTest(bad=bad[:40]), self.assertRaises(ShelfError):
+                ShelfCodec(1).feed(memoryview(bad))
+
+    def test_backlog_keeps_bytes_and_gives_buffers_back(self) -> None:
+        pool = BufferPool(64)
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        ours.setblocking(False)
+        backlog, sent = Backlog(pool), [bytes([n]) * 300_000 for n in range(8)]
+        for piece in sent:
+            backlog.add([piece])
+            self.assertTrue(backlog.write(ours))
+        self.assertGreater(pool.out, 0)
+        got = b""
+        while len(got) < 8 * 300_000:
+            got += theirs.recv(1 << 20)
+            self.assertTrue(backlog.write(ours))
+        self.assertEqual(got, b"".join(sent))
+        self.assertEqual((pool.out, backlog.size()), (0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
