Reload on SIGHUP, make room among clients, and turn bad requests away

Bad requests were passed on to servers: front.call let through short ids, zero patience and parts out of range; Reducer.on_call opened any number of calls and took a second request under an open trace id.

Now: silence of 2 s, or 5 s without anything open, ends a client's connection, sooner when places are short; SIGHUP reads the file again and the reducer moves the feed; what servers cannot use gets an error or a close.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -7,25 +7,27 @@
 import signal
 import socket
 import sys
+from functools import partial
 
-from kelpcroft.config import ConfigError, load
+from kelpcroft.config import ConfigError, load, reload
 from kelpcroft.net.loop import Clock, Loop
 
 
 def main() -> int:
-    """Serve until SIGTERM or SIGINT."""
-    try:
-        config = load(os.environ)
-    except ConfigError as error:
-        print(f"configuration: {error}", file=sys.stderr)
-        return 2
+    """Serve until SIGTERM or SIGINT.  Signals are taken from the first line on: one that comes while the
+    configuration is read waits on the socket until the loop looks."""
     ours, theirs = socket.socketpair()
     for end in (ours, theirs):
         end.setblocking(False)
     signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: None)  # the byte on the socket is what the loop sees
-    loop = Loop(config, Clock())
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"configuration: {error}", file=sys.stderr)
+        return 2
+    loop = Loop(config, Clock(), partial(reload, os.environ))
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
     try:
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from kelpcroft.messages import News
+from kelpcroft.messages import News, Reload
 from kelpcroft.net.feed import FeedError, news_of
 from zincgrade.interface import Settings, SettingsError
 from zincgrade.simhost import Kinds, settings_of
@@ -80,6 +80,14 @@
     return parse(table("ROUTER_CONFIG", raw), environ)
 
 
+def reload(environ: Mapping[str, str]) -> Reload:
+    """Read the file again.  Only ``feed`` may change while the program runs, but all must be usable."""
+    try:
+        return Reload(load(environ).feed, "")
+    except ConfigError as error:
+        return Reload(None, str(error))
+
+
 def parse(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     """The JSON's values; ROUTER_NAME and ROUTER_LISTEN go before what it says."""
     limits = table("limits", raw.get("limits", {}))
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -175,8 +175,16 @@
     """The platform wants this process to end."""
 
 
+@message
+class Reload:
+    """The configuration was to be read again: the feed's new address, or why the file cannot be used."""
+
+    feed: tuple[str, int] | None
+    why: str
+
+
 Input = Union[Call, CallOff, AskHealth, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost, Listening, Due,
-              Terminate]
+              Terminate, Reload]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -285,6 +293,13 @@
     after: int
 
 
+@message
+class Move:
+    """Leave the feed where it is, and find it at another address from now on."""
+
+    feed: tuple[str, int]
+
+
 @message
 class Wake:
     """Say Due at a time."""
@@ -310,5 +325,5 @@
     """Flush what is written, then end with success."""
 
 
-Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Wake, Log,
-               StopAccepting, Exit]
+Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Move, Wake,
+               Log, StopAccepting, Exit]
--- a/kelpcroft/net/front.py
+++ b/kelpcroft/net/front.py
@@ -9,12 +9,15 @@
 from kelpcroft.messages import AskHealth, Body, Call, CallOff
 
 NS_PER_MS = 1_000_000
-BODY_MOST = 240_000          # bytes of a request's body; the protocol's writes carry up to 48,000
+BODY_MOST = 48_000           # bytes of a request's body
+MESSAGE_MOST = 65_536        # bytes of a message; what nested lists make of them is some sixty times as much
 FIELDS_MOST = 64             # fields of a request
 TEXT_MOST = 1_024            # bytes of a field
-PATIENCE_MOST_MS = 60_000    # longer patience is cut to this, so that nothing is held for ever
+OPEN_MOST = 32               # requests that a client may have open on one connection
+PART_MOST, GROUP_MOST = 9_999, 255
+PATIENCE_MOST_MS = 60_000
 CANCELS_MOST = 1_024         # calls in one cancel
-HEX = frozenset("0123456789abcdefABCDEF")
+HEX = frozenset("0123456789abcdef")
 EMPTY_MAP, SAME = b"\x80", msgpack.packb({"keep": "1"})
 
 
@@ -27,8 +30,9 @@
 
     def __init__(self, client: int, read_size: int) -> None:
         self.client, self.waited_ns = client, 0
+        self.fed = self.whole = 0            # bytes taken in, and those of whole messages
         self.unpacker = msgpack.Unpacker(
-            raw=False, read_size=4_096, max_buffer_size=BODY_MOST + 65_536 + read_size,
+            raw=False, read_size=4_096, max_buffer_size=MESSAGE_MOST + read_size,
             max_str_len=TEXT_MOST, max_bin_len=BODY_MOST, max_array_len=CANCELS_MOST,
             max_map_len=FIELDS_MOST, max_ext_len=0)
 
@@ -36,17 +40,33 @@
         """The messages that these bytes complete.  Patience counts from the client's send: what they may have
         waited to be read is taken off it."""
         self.waited_ns = waited_ns
+        self.fed += len(data)
         found: list[Call | CallOff | AskHealth] = []
+        unread: set[int] = set()             # calls that came with these bytes, so none is answered yet
         try:
             self.unpacker.feed(data)
             for raw in self.unpacker:
-                found += self.message(raw)
+                self.whole = self.unpacker.tell()
+                for one in self.message(raw):
+                    found.append(one)
+                    if isinstance(one, CallOff):
+                        unread.discard(one.call)
+                    else:
+                        unread.add(one.call)
+                        if len(unread) > OPEN_MOST:
+                            raise FrontError(f"more than {OPEN_MOST} requests at once")
         except FrontError:
             raise
         except Exception as error:  # msgpack raises many kinds, all of them for bytes that are not its own
             raise FrontError(f"{type(error).__name__}: {error}") from error
+        if self.fed - self.whole > MESSAGE_MOST:
+            raise FrontError(f"a message of more than {MESSAGE_MOST} bytes")
         return found
 
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return self.fed > self.whole
+
     def message(self, raw: Any) -> list[Call | CallOff | AskHealth]:
         """One decoded message."""
         if isinstance(raw, list) and len(raw) == 3 and raw[0] == 2:
@@ -63,34 +83,36 @@
         raise FrontError(f"not a request, a cancel or a health check: {str(raw)[:80]}")
 
     def call(self, call: int, cls: str, fields: dict[str, Any], body: bytes | str) -> Call:
-        """A request's fields, each checked."""
+        """A request's fields, each checked: what a server cannot use must not come to it in our name."""
         trace, item = self.hexadecimal(fields, "trace"), self.hexadecimal(fields, "entity")
-        part = fields.get("block", "0")
-        tag = fields.get("cached", "")
-        if not isinstance(tag, str) or "," in tag:
-            raise FrontError(f"cached: {tag!r} is not a tag")
-        patience_ms = min(self.count(fields, "patience", None), PATIENCE_MOST_MS)
+        tag = self.hexadecimal(fields, "cached") if "cached" in fields else ""
+        patience_ms = self.count(fields, "patience", None, PATIENCE_MOST_MS)
+        if not patience_ms:
+            raise FrontError("patience: is 0")
+        number = self.count(fields, "block", "0", PART_MOST)
         return Call(
             client=self.client, call=call, cls=cls, trace=trace,
             patience_ns=patience_ms * NS_PER_MS - self.waited_ns,
-            object=item, part=part, object_number=int(item, 16), part_number=self.count(fields, "block", "0"),
-            group=self.count(fields, "family", "0"), retry=fields.get("redo") == "1", tag=tag,
+            object=item, part=str(number), object_number=int(item, 16), part_number=number,
+            group=self.count(fields, "family", "0", GROUP_MOST), retry=fields.get("redo") == "1", tag=tag,
             body=body.encode() if isinstance(body, str) else body)
 
     @staticmethod
     def hexadecimal(fields: dict[str, Any], key: str) -> str:
         """A field of hex digits."""
         text = fields.get(key)
-        if not isinstance(text, str) or not 0 < len(text) <= 16 or not HEX.issuperset(text):
-            raise FrontError(f"{key}: {text!r} is not hex digits")
+        if not isinstance(text, str) or len(text) != 16 or not HEX.issuperset(text):
+            raise FrontError(f"{key}: {str(text)[:40]!r} is not 16 hex digits")
         return text
 
     @staticmethod
-    def count(fields: dict[str, Any], key: str, absent: str | None) -> int:
+    def count(fields: dict[str, Any], key: str, absent: str | None, most: int) -> int:
         """A field that counts something."""
         text = fields.get(key, absent)
         if not isinstance(text, str) or not text.isascii() or not text.isdigit() or len(text) > 12:
-            raise FrontError(f"{key}: {text!r} is not a whole number")
+            raise FrontError(f"{key}: {str(text)[:40]!r} is not a whole number")
+        if int(text) > most:
+            raise FrontError(f"{key}: {text} is over {most}")
         return int(text)
 
 
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -5,6 +5,7 @@
 import errno
 import heapq
 import selectors
+import signal
 import socket
 import sys
 import time
@@ -24,6 +25,11 @@
 POLL_LATE_NS = 1_400_000_000  # a poll that is out for so long is lost
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
 CLIENTS_NS = 20_000_000      # new requests are read for so long in one turn
+SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
+IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
+SPARED_NS = SECOND // 10     # when clients are too many, one that was heard so lately does not go for another
+CLEAN_NS = SECOND // 4       # between looks at silent, idle and stuck connections
+COMPLAINTS = 2               # lines about bad clients between such looks: they come by the hundred
 STUCK_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
 POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
 SPARE_CLIENTS = 8            # connections accepted over the clients' share
@@ -64,6 +70,10 @@
     def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
         super().__init__(sock, pool, now)
         self.number, self.codec, self.up = number, front.FrontCodec(number, SIZE), True
+        self.said = False        # a whole message has come
+        self.heard_ns = now      # when the last one did, or else the connection
+        self.begun_ns = 0        # when the message began of which a part has come
+        self.leaving = False     # hung up on
 
 
 class Server(Peer):
@@ -89,8 +99,10 @@
 class Loop:
     """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, reload: Callable[[], m.Reload] | None = None) -> None:
         self.config, self.clock = config, clock
+        self.reload = reload or (lambda: m.Reload(None, "there is no file"))
+        self.feed_at = config.feed
         self.reducer = Reducer(config)
         self.selector = selectors.DefaultSelector()
         self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)
@@ -105,7 +117,7 @@
         self.dirty: dict[Peer, None] = {}
         self.lost: list[tuple[Peer, str]] = []
         self.stopping = False
-        self.stuck_ns = 0
+        self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
         self.waited_ns = 0       # the longest that what is being read from a client may have waited
         self.signals: socket.socket | None = None
@@ -183,8 +195,7 @@
             elif key.fileobj is self.listener:
                 self.accept()
             elif self.signals:
-                self.signals.recv(SIZE)
-                self.tell(m.Terminate())
+                self.on_signals(self.signals.recv(SIZE))
         # News of the list and of purges before answers, answers before new requests.
         for peer, events in turns[0] + turns[1]:
             self.serve(peer, events)
@@ -194,10 +205,17 @@
             self.tell(m.Due(heapq.heappop(self.heap)[2]))
         if self.feed and self.feed.waits and now - self.feed.polled_ns > POLL_LATE_NS:
             self.lose(self.feed, "no answer in time")
-        if now - self.stuck_ns > SECOND:
-            self.close_stuck(now)
+        if now - self.cleaned_ns > CLEAN_NS:
+            self.clean(now)
         self.flush()
 
+    def on_signals(self, numbers: bytes) -> None:
+        """SIGHUP has the configuration read again, the others end the program."""
+        if signal.SIGHUP in numbers:
+            self.tell(self.reload())
+        if any(number != signal.SIGHUP for number in numbers):
+            self.tell(m.Terminate())
+
     def serve(self, peer: Peer, events: int) -> None:
         """What the selector said of one connection, unless what came before it has closed it."""
         if events & selectors.EVENT_WRITE and peer.sock.fileno() >= 0:
@@ -264,9 +282,14 @@
                 self.send(e.link, shelf.check(e))
             elif isinstance(e, m.Poll):
                 self.poll(e)
+            elif isinstance(e, m.Move):
+                self.feed_at = e.feed
+                if self.feed:
+                    self.close(self.feed)
             elif isinstance(e, m.HangUp):
                 client = self.clients.get(e.client)
                 if client:
+                    client.leaving = True
                     self.lost.append((client, e.why))
             elif isinstance(e, m.Log):
                 self.log(e.text)
@@ -316,9 +339,11 @@
 
     def poll(self, e: m.Poll) -> None:
         now = self.clock.now()
+        if self.feed is not None and self.feed.waits:
+            return  # one poll at a time: a wake-up from before a move may ask for a second
         if self.feed is None:
             try:
-                self.feed = Feed(self.connect(self.config.feed), self.pool, now)
+                self.feed = Feed(self.connect(self.feed_at), self.pool, now)
             except OSError as error:
                 self.feed = Feed(socket.socket(), self.pool, now)
                 self.lost.append((self.feed, str(error)))
@@ -326,7 +351,7 @@
             self.watch(self.feed, selectors.EVENT_WRITE)
         feed = self.feed
         feed.polled_ns, feed.waits = now, True
-        feed.backlog.add((poll_request(self.config.feed, e.after, POLL_WAIT_MS),))
+        feed.backlog.add((poll_request(self.feed_at, e.after, POLL_WAIT_MS),))
         self.dirty[feed] = None
 
     # Sockets ----------------------------------------------------------------------------------------------
@@ -352,8 +377,7 @@
     def accept(self) -> None:
         assert self.listener
         for _ in range(ACCEPTS):
-            if len(self.clients) >= self.most_clients:
-                self.log(f"{len(self.clients)} clients: no more are taken until one goes")
+            if len(self.clients) >= self.most_clients and not self.make_room():
                 self.accept_more(False)
                 return
             try:
@@ -431,7 +455,16 @@
             for answer in peer.codec.feed(data):
                 self.tell(answer)
         elif isinstance(peer, Client):
-            for message in peer.codec.feed(data, self.waited_ns):
+            messages, now = peer.codec.feed(data, self.waited_ns), self.clock.now()
+            if messages:
+                peer.said, peer.heard_ns, peer.begun_ns = True, now, 0
+            if not peer.codec.partial():
+                peer.begun_ns = 0
+            elif not peer.begun_ns:
+                peer.begun_ns = now
+            for message in messages:
+                if peer.leaving:
+                    return
                 self.tell(message)
 
     def lose(self, peer: Peer, why: str) -> None:
@@ -439,7 +472,8 @@
         if isinstance(peer, Client):
             if peer.number in self.clients:
                 self.close(peer)
-                if why:
+                if why and self.complaints < COMPLAINTS:
+                    self.complaints += 1
                     self.log(f"client {peer.number}: {why}")
                 self.tell(m.ClientLost(peer.number))
         elif isinstance(peer, Server) and peer.number in self.servers:
@@ -464,12 +498,32 @@
         elif peer is self.feed:
             self.feed = None
 
-    def close_stuck(self, now: int) -> None:
-        """Connections that take nothing any more give their buffers back."""
-        self.stuck_ns = now
+    def clean(self, now: int) -> None:
+        """Connections that take nothing any more give their buffers back; clients that say nothing, or have
+        nothing open for long, make room: some keep their connection for good, and would hold every place."""
+        self.cleaned_ns, self.complaints = now, 0
         for peer in [*self.clients.values(), *self.servers.values()]:
             if peer.backlog.size() and now - peer.moved_ns > STUCK_NS:
                 self.lose(peer, "takes nothing any more")
+            elif isinstance(peer, Client) and not peer.ready_ns:
+                silent = peer.begun_ns or (0 if peer.said else peer.heard_ns)
+                if silent and now - silent > SILENT_NS:
+                    self.lose(peer, "")
+                elif now - peer.heard_ns > IDLE_NS and self.spare(peer):
+                    self.lose(peer, "")
+
+    def spare(self, client: Client) -> bool:
+        """Whether nothing is owed on a client's connection and nothing waits to be written."""
+        waits = client.backlog.size() or client in self.dirty
+        return not waits and client.number not in self.reducer.calls
+
+    def make_room(self) -> bool:
+        """One client goes for another: the longest silent that never asked, else the longest idle."""
+        latest = self.clock.now() - SPARED_NS
+        found = [c for c in self.clients.values() if c.heard_ns < latest and not c.ready_ns and self.spare(c)]
+        if found:
+            self.lose(min(found, key=lambda c: (c.said, c.heard_ns)), "")
+        return bool(found)
 
     def log(self, text: str) -> None:
         print(text, file=sys.stderr, flush=True)
--- a/kelpcroft/reducer.py
+++ b/kelpcroft/reducer.py
@@ -30,6 +30,7 @@
 ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
 LAME_NS = 800 * MS           # and requests on open ones at least so long
 CLIENT_SHARE = 3             # clients hold at most one of so many descriptors
+OPEN_MOST = 32               # calls that one client may have open
 SPARE_SOCKETS = 24           # listener, feed, log, selector and the like
 
 
@@ -86,6 +87,7 @@
         self.endpoints: dict[str, m.Endpoint] = {}
         self.requests: dict[int, Request] = {}               # those that owe an answer
         self.calls: dict[int, dict[int, Request]] = {}       # the same, by client and call
+        self.traces: set[str] = set()                        # of those
         self.attempts: dict[int, Attempt] = {}
         self.tries: dict[tuple[str, int], int] = {}          # the same, by request and the module's number
         self.probes: dict[int, Probe] = {}
@@ -93,6 +95,7 @@
         self.seen = 0                                        # last event of the feed
         self.listening = self.listed = self.ending = False
         self.ended_ns = 0
+        self.feed_at = config.feed
         self.feed_failures = 0
         self.counted_ns = 0
         self.tally: Counter[str] = Counter()
@@ -145,17 +148,25 @@
             self.on_feed_lost(message)
         elif isinstance(message, m.Listening):
             self.listening = True
+        elif isinstance(message, m.Reload):
+            self.on_reload(message)
         else:
             self.on_terminate()
         self.drive()
         return self.effects
 
     def on_call(self, c: m.Call) -> None:
-        if c.call in self.calls.get(c.client, ()):
-            self.effects.append(m.HangUp(c.client, f"call {c.call} is open already"))
+        """Bad clients get an error or a close here, before anything is sent on for them: servers answer their
+        requests with errors, which would tell against the server and against the request with the same id."""
+        here = self.calls.get(c.client, {})
+        if c.call in here or len(here) >= OPEN_MOST:
+            self.tally["hung up on"] += 1
+            self.effects.append(m.HangUp(
+                c.client, f"call {c.call} is open already" if c.call in here else "too many calls open"))
             return
-        if c.cls not in self.classes:
-            self.log(f"no such class: {c.cls[:40]!r}")
+        cls = self.classes.get(c.cls)
+        if cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.traces:
+            self.tally["not usable"] += 1
             self.effects.append(m.Break(c.client, c.call))
             return
         most = self.config.settings.limits.max_open
@@ -165,6 +176,7 @@
         self.made += 1
         request = Request(str(self.made), c, self.now + c.patience_ns)
         self.requests[self.made] = self.calls.setdefault(c.client, {})[c.call] = request
+        self.traces.add(c.trace)
         self.tally["taken"] += 1
         self.touched.append(request)
         self.events.append(api.Request(
@@ -311,6 +323,18 @@
         else:
             self.wake(FEED_AGAIN_NS, Timer.FEED)
 
+    def on_reload(self, new: m.Reload) -> None:
+        """A new file may name another address of the feed.  Its numbers go on, so nothing is told twice.  A
+        file that cannot be used changes nothing."""
+        if new.feed is None:
+            self.log(f"configuration not taken: {new.why}")
+        elif new.feed == self.feed_at:
+            self.log("configuration read again: the feed stays where it is")
+        else:
+            self.log(f"configuration read again: the feed is at {new.feed[0]}:{new.feed[1]}")
+            self.feed_at, self.feed_failures = new.feed, 0
+            self.effects += [m.Move(new.feed), m.Poll(self.seen)]
+
     # The planned end --------------------------------------------------------------------------------------
 
     def on_terminate(self) -> None:
@@ -338,6 +362,7 @@
             return
         request.answered = True
         del self.requests[int(request.id)]
+        self.traces.discard(request.call.trace)
         open_here = self.calls[request.call.client]
         del open_here[request.call.call]
         if not open_here:
--- a/tests/player.py
+++ b/tests/player.py
@@ -9,6 +9,8 @@
     client x             the peer closes its connection
     client .             the program has closed the connection
     program term         SIGTERM;  program exit N: it ends with this code
+    program feed NAME    a configuration that names this peer as the feed, then SIGHUP
+    program spoil        one that cannot be used, then SIGHUP
 """
 
 from __future__ import annotations
@@ -41,7 +43,7 @@
         self.listeners: dict[str, socket.socket] = {}
         self.socks: dict[str, socket.socket] = {}
         self.kept: dict[str, str] = {}
-        for name in (*SERVERS, "feed"):
+        for name in (*SERVERS, "feed", "moved"):
             self.listeners[name] = socket.create_server(("127.0.0.1", 0))
             self.listeners[name].settimeout(WAIT_S)
         with socket.create_server(("127.0.0.1", 0)) as free:
@@ -49,16 +51,16 @@
         endpoints = [{"name": server, "address": self.at(n), "zone": zone, "type": kind, "status": "active"}
                      for n, (server, zone, kind) in SERVERS.items() if n in only]
         members = {"index": 1, "snapshot": True, "endpoints": endpoints}
-        config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
-                  "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
+        self.config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
+                       "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
         self.folder = tempfile.TemporaryDirectory()
         case.addCleanup(self.folder.cleanup)
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(config))
+        self.path = Path(self.folder.name) / "config.json"
+        self.path.write_text(json.dumps(self.config))
         self.log = (Path(self.folder.name) / "log").open("w+")
         self.program = subprocess.Popen(
             [sys.executable, "-m", "kelpcroft"], cwd=PROGRAM, stderr=self.log,
-            env={**os.environ, "ROUTER_CONFIG": str(path)})
+            env={**os.environ, "ROUTER_CONFIG": str(self.path)})
         case.addCleanup(self.close)
 
     def at(self, name: str) -> str:
@@ -133,5 +135,8 @@
                 pass
         elif what == "term":
             self.program.send_signal(signal.SIGTERM)
+        elif what in ("feed", "spoil"):
+            self.path.write_text(json.dumps({**self.config, "feed": self.at(text) if text else None}))
+            self.program.send_signal(signal.SIGHUP)
         else:
             self.case.assertEqual((what, self.program.wait(WAIT_S)), ("exit", int(text)))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -40,6 +40,13 @@
         """Nothing that a peer sends may end the process, which serves everyone else."""
         Player(self, ONE).play("malformed.txt")
 
+    def test_reload(self) -> None:
+        """SIGHUP ended the program, and whatever it had taken was lost."""
+        player = Player(self, ONE)
+        player.play("reload.txt")
+        player.log.seek(0)
+        self.assertIn("configuration not taken: feed: ", player.log.read())
+
     def test_planned_end(self) -> None:
         Player(self, ONE).play("planned_end.txt")
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,18 +11,19 @@
 from kelpcroft import messages as m
 from kelpcroft.config import parse
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
-from kelpcroft.net.front import FrontCodec
-from kelpcroft.net.loop import CLIENTS_NS, Client, Clock, Loop
+from kelpcroft.net.front import FrontCodec, FrontError
+from kelpcroft.net.loop import CLIENTS_NS, IDLE_NS, SILENT_NS, Client, Clock, Loop
 from kelpcroft.net.shelf import ShelfCodec, ShelfError
 from kelpcroft.reducer import MS, Reducer
 from zincgrade.interface import Note, Outcome
 
+TRACE = "00000000000000ab"
 NOW = 1_764_576_000 * 1_000 * MS
 
 
-def call(number: int, item: str = "0a", patience: int = 2_000) -> m.Call:
+def call(number: int, item: str = "0a", patience: int = 2_000, client: int = 1, cls: str = "page") -> m.Call:
     trace = f"{number:016x}"
-    return m.Call(1, number, "page", trace, patience * MS, item, "0", int(item, 16), 0, 17, False, "", b"")
+    return m.Call(client, number, cls, trace, patience * MS, item, "0", int(item, 16), 0, 17, False, "", b"")
 
 
 def router() -> Reducer:
@@ -39,11 +40,65 @@
 class Parts(unittest.TestCase):
     def test_patience_counts_from_the_send(self) -> None:
         """Requests that had waited unread in a busy router were answered after their clients had gone."""
-        data = msgpack.packb([0, 1, "page", [{"trace": "01", "patience": "900", "entity": "0a"}, b""]])
+        data = msgpack.packb([0, 1, "page", [{"trace": TRACE, "patience": "900", "entity": TRACE}, b""]])
         (taken,) = FrontCodec(1, SIZE).feed(memoryview(data), 400 * MS)
         assert isinstance(taken, m.Call)
         self.assertEqual(taken.patience_ns, 500 * MS)
 
+    def test_bad_requests_are_not_sent_on(self) -> None:
+        """Servers answer them with errors or close, which told against servers and others' requests."""
+        good = {"trace": TRACE, "patience": "900", "entity": TRACE, "block": "0", "family": "17"}
+        bad = [{**good, key: value} for key, value in (
+            ("trace", "ab"), ("entity", TRACE.upper()), ("entity", 7), ("patience", "0"), ("patience", "-5"),
+            ("patience", "nan"), ("block", "99999999"), ("family", "256"), ("cached", "a=b"))]
+        bodies = [[0, 1, "page", [good, b"x" * 48_001]]]
+        for message in [[0, 1, "page", [fields, b""]] for fields in bad] + bodies:
+            with self.subTest(message=str(message)[:200]), self.assertRaises(FrontError):
+                FrontCodec(1, SIZE).feed(memoryview(msgpack.packb(message)))
+        r = router()
+        self.assertEqual(len(only(m.Dial, r.handle(NOW, call(1)))), 1)
+        for other in (call(1, client=2), call(2, cls="none"), call(3, patience=90_000)):
+            self.assertEqual(r.handle(NOW, other), [m.Break(other.client, other.call)])
+        for number in range(4, 4 + 31):
+            self.assertEqual(only(m.HangUp, r.handle(NOW, call(number))), [])
+        self.assertEqual(len(only(m.HangUp, r.handle(NOW, call(99)))), 1)
+
+    def test_a_message_has_an_end(self) -> None:
+        """Nested lists grow in memory as they come, far past the bytes that wait to be decoded; and hundreds
+        of requests at once, withdrawn or not, were each sent on."""
+        codec = FrontCodec(1, SIZE)
+        with self.assertRaises(FrontError):
+            for _ in range(8):
+                self.assertEqual(codec.feed(memoryview((b"\x9f" + b"\x90" * 14) * 1_024)), [])
+                self.assertTrue(codec.partial())
+        good = {"trace": TRACE, "patience": "900", "entity": TRACE}
+        calls = [msgpack.packb([0, n, "page", [good, b""]]) for n in range(1, 34)]
+        self.assertEqual(len(FrontCodec(1, SIZE).feed(memoryview(b"".join(calls[:32])))), 32)
+        with self.assertRaises(FrontError):
+            FrontCodec(1, SIZE).feed(memoryview(b"".join([*calls, msgpack.packb([2, "cancel", [1]])])))
+
+    def test_silent_and_idle_clients_make_room(self) -> None:
+        """Clients that asked once and stayed held every place; no one else was taken until they went."""
+        loop = Loop(parse(EXAMPLE, {}), Clock(lambda: NOW))
+        self.addCleanup(loop.selector.close)
+        loop.reducer.start(NOW)
+        for number, said, age in (
+                (1, False, SILENT_NS), (2, True, IDLE_NS), (3, True, SILENT_NS), (4, True, 0)):
+            client = loop.clients[number] = Client(number, socket.socket(), loop.pool, NOW - age - MS)
+            client.said = said
+            self.addCleanup(client.sock.close)
+        loop.clients[3].begun_ns = NOW - MS
+        loop.clean(NOW)
+        self.assertEqual(list(loop.clients), [3, 4])
+        loop.reducer.handle(NOW, call(1, client=3))
+        self.assertFalse(loop.make_room(), "one is served, the other was heard just now")
+        loop.reducer.handle(NOW, m.CallOff(3, 1))
+        self.assertTrue(loop.make_room())
+        self.assertEqual(list(loop.clients), [4])
+        loop.clients[4].begun_ns = NOW - SILENT_NS - MS
+        loop.clean(NOW)
+        self.assertEqual(list(loop.clients), [], "half a message, and then nothing")
+
     def test_requests_are_read_for_a_bounded_time(self) -> None:
         """All clients were read before the feed was looked at again; turns grew longer than the purge rule
         allows.  What is left over remembers since when it may have waited."""
