Lost connections blame no server; few attempts share one; late reads get a second copy

At fault: Policy.learn took a RESET for a lost process (dead, then cold for 15 s, the rest of the zone over its room), Links.find packed a connection full before the next, and a request whose answer never came waited for its client to go. A probe that printed what came showed that answers arrive within 1 ms of their first byte, so one that stalls for 200 ms has stopped short; memory and descriptors were ruled out (11 of 80 MB, 29 of 384).

Now only a refused connection or one not had in time tells of a server; a reset one is dialled or tried again on the same server; four attempts share a connection and what must not run twice shares none; answered ids are kept off their connection, as a second copy of a miss ended the next attempt; a body said to be four bytes too long is not passed on; one copy more is asked for when an answer is long overdue, for 4% of requests at most.

--- a/kelpcroft/links.py
+++ b/kelpcroft/links.py
@@ -6,6 +6,9 @@
 
 from kelpcroft.messages import Endpoint
 
+SHARED = 4                   # attempts that one connection carries, before one more is opened
+EACH_MOST = 12               # connections to one server, before they carry more
+
 
 @dataclass(slots=True)
 class Link:
@@ -16,20 +19,22 @@
     up: bool = False
     waiting: dict[str, int] = field(default_factory=dict)    # not written, as it does not stand yet
     out: dict[str, int] = field(default_factory=dict)        # written and unanswered
-    killed: dict[str, int] = field(default_factory=dict)     # given up, and when: an answer may still come
+    spent: dict[str, int] = field(default_factory=dict)      # ids that ended without a final answer, and when
     heard_ns: int = 0                                        # last answer
     idle_ns: int = 0                                         # when it last had something out
     shunned: bool = False                                    # takes nothing new; closed once empty
+    alone: bool = False                                      # carries one that must not fail with others
 
     def load(self) -> int:
         """Attempts that it carries."""
         return len(self.waiting) + len(self.out)
 
-    def takes(self, id: str, most: int) -> bool:
-        """Whether one more may go out here.  An id that was given up here must not be used here again: the
-        first one's answer, if it crossed the KILL, would be taken for the second's."""
-        return (not self.shunned and self.load() < most and id not in self.waiting and id not in self.out
-                and id not in self.killed)
+    def takes(self, id: str, most: int, alone: bool) -> bool:
+        """Whether one more may go out here.  An id that was given up or answered here must not be used here
+        again: an answer that crossed the KILL, or a second copy, would be taken for the second attempt's."""
+        load = self.load()
+        return (not self.shunned and load < most and not (load and (alone or self.alone))
+                and id not in self.waiting and id not in self.out and id not in self.spent)
 
 
 class Links:
@@ -41,15 +46,23 @@
         self.by_server: dict[str, list[Link]] = {}
         self.made = 0
 
-    def find(self, server: str, id: str) -> Link | None:
+    def find(self, server: str, id: str, alone: bool = False) -> Link | None:
         """A connection with room: one that stands before one that is being opened, the fullest first, so that
-        few are open and the rest fall idle."""
-        best = None
-        for link in self.by_server.get(server, ()):
-            if link.takes(id, self.streams) and (
-                    best is None or (link.up, link.load()) > (best.up, best.load())):
+        few are open and the rest fall idle.  None where one more is to be opened.
+
+        Few attempts share one: an answer that cannot be read fails all that are out on its connection."""
+        best = full = None
+        links = self.by_server.get(server, ())
+        for link in links:
+            if not link.takes(id, self.streams, alone):
+                continue
+            if link.load() >= SHARED:
+                if full is None or link.load() < full.load():
+                    full = link
+            elif best is None or (link.up, link.load()) > (best.up, best.load()):
                 best = link
-        return best
+        more = len(links) < EACH_MOST and len(self.by_number) < self.most
+        return best if best or more else full
 
     def add(self, endpoint: Endpoint) -> Link | None:
         """A new one, to be opened; None when there are too many."""
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -77,10 +77,12 @@
 
 @message
 class LinkLost:
-    """A connection to a server could not be had, or has ended."""
+    """A connection to a server could not be had, or has ended.  Only ``down`` tells that nobody is there: a
+    connection is also reset by what lies between, and closed by us when an answer on it cannot be read."""
 
     link: int
     why: str
+    down: bool = False
 
 
 @message
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -28,9 +28,11 @@
 SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
 IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
 SPARED_NS = SECOND // 10     # when clients are too many, one that was heard so lately does not go for another
-CLEAN_NS = SECOND // 4       # between looks at silent, idle and stuck connections
+STALLED_NS = SECOND // 5     # the rest of a server's answer follows sooner, or does not come
+CLEAN_NS = SECOND // 10      # between looks at silent, idle, stalled and stuck connections
 COMPLAINTS = 2               # lines about bad clients between such looks: they come by the hundred
 STUCK_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
+DOWN = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT)
 POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
 SPARE_CLIENTS = 8            # connections accepted over the clients' share
 LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
@@ -84,6 +86,7 @@
     def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
         super().__init__(sock, pool, now)
         self.number, self.codec = number, shelf.ShelfCodec(number)
+        self.read_ns = now       # when bytes last came
 
 
 class Feed(Peer):
@@ -397,7 +400,7 @@
         if not peer.up:
             code = peer.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                self.lose(peer, errno.errorcode.get(code, str(code)))
+                self.lose(peer, errno.errorcode.get(code, str(code)), code in DOWN)
                 return
             peer.up = True
             if isinstance(peer, Server):
@@ -436,7 +439,7 @@
                     return
         except BlockingIOError:
             pass
-        except (front.FrontError, shelf.ShelfError, FeedError) as error:
+        except (front.FrontError, FeedError) as error:
             self.lose(peer, f"malformed: {error}")
         except OSError as error:
             self.lose(peer, error.strerror or str(error))
@@ -452,8 +455,11 @@
                     self.close(peer)
                 self.tell(news)
         elif isinstance(peer, Server):
+            peer.read_ns = self.clock.now()
             for answer in peer.codec.feed(data):
                 self.tell(answer)
+            if peer.codec.fault:
+                self.lose(peer, f"malformed: {peer.codec.fault}")
         elif isinstance(peer, Client):
             messages, now = peer.codec.feed(data, self.waited_ns), self.clock.now()
             if messages:
@@ -467,7 +473,7 @@
                     return
                 self.tell(message)
 
-    def lose(self, peer: Peer, why: str) -> None:
+    def lose(self, peer: Peer, why: str, down: bool = False) -> None:
         """A connection has ended: its socket goes, and the reducer hears of it."""
         if isinstance(peer, Client):
             if peer.number in self.clients:
@@ -478,7 +484,7 @@
                 self.tell(m.ClientLost(peer.number))
         elif isinstance(peer, Server) and peer.number in self.servers:
             self.close(peer)
-            self.tell(m.LinkLost(peer.number, why or "closed by the server"))
+            self.tell(m.LinkLost(peer.number, why or "closed by the server", down))
         elif isinstance(peer, Feed) and peer is self.feed:
             self.close(peer)
             self.tell(m.FeedLost(why or "closed"))
@@ -505,6 +511,9 @@
         for peer in [*self.clients.values(), *self.servers.values()]:
             if peer.backlog.size() and now - peer.moved_ns > STUCK_NS:
                 self.lose(peer, "takes nothing any more")
+            elif isinstance(peer, Server):
+                if peer.codec.partial() and now - peer.read_ns > STALLED_NS:
+                    self.lose(peer, "an answer has stopped short")
             elif isinstance(peer, Client) and not peer.ready_ns:
                 silent = peer.begun_ns or (0 if peer.said else peer.heard_ns)
                 if silent and now - silent > SILENT_NS:
--- a/kelpcroft/net/shelf.py
+++ b/kelpcroft/net/shelf.py
@@ -99,10 +99,23 @@
         self.words = ("", "", "")           # id, word and fields of the answer whose body is being filled
         self.body: bytearray | None = None  # its line end included
         self.filled = 0
+        self.fault = ""                     # why nothing more can be read
 
     def feed(self, data: memoryview) -> list[Answer]:
-        """The answers that these bytes complete."""
+        """The answers that these bytes complete.  Those ahead of bytes that are none are good; ``fault`` then
+        says why the connection is of no further use."""
         found: list[Answer] = []
+        try:
+            self.take(data, found)
+        except ShelfError as error:
+            self.fault = str(error)
+        return found
+
+    def partial(self) -> bool:
+        """Whether an answer has begun and not ended."""
+        return self.body is not None or bool(self.head)
+
+    def take(self, data: memoryview, found: list[Answer]) -> None:
         at = 0
         while at < len(data):
             body = self.body
@@ -114,13 +127,14 @@
             self.filled += take
             at += take
             if self.filled == len(body):
-                if not body.endswith(b"\r\n"):
+                # What follows at once is looked at too: a body said to be four bytes longer than it is takes
+                # them from the next answer's head, and ends as a body should.
+                if not body.endswith(b"\r\n") or bytes(data[at:at + 1]) not in (b"", b"*"):
                     raise ShelfError("a body does not end where it should")
                 del body[-2:]
                 id, word, text = self.words
                 found.append(self.answer(id, word, text, body))
                 self.body = None
-        return found
 
     def begin(self, data: memoryview) -> int:
         """An answer's head, up to its body: how many of these bytes belong to it."""
--- a/kelpcroft/reducer.py
+++ b/kelpcroft/reducer.py
@@ -25,7 +25,8 @@
 HOUSE_NS = SECOND            # between looks at idle connections
 COUNT_NS = 10 * SECOND       # between lines of counters in the log
 IDLE_SHARE = 0.7             # of the servers' idle time after which we close: a send never meets their close
-KILLED_NS = 10 * SECOND      # how long a given-up id is kept off its connection
+SPENT_NS = 10 * SECOND       # how long a given-up or answered id is kept off its connection
+DIALS_MOST = 3               # connections that are tried for one attempt while each breaks at once
 FEED_AGAIN_NS = 25 * MS      # after a failed poll that followed another failed one
 ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
 LAME_NS = 800 * MS           # and requests on open ones at least so long
@@ -45,6 +46,7 @@
     index: int
     link: Link
     sent: bool = False
+    dials: int = 0                                          # connections that broke before it was sent
 
 
 @dataclass(slots=True)
@@ -190,9 +192,10 @@
         link.heard_ns = self.now
         number = link.out.pop(a.id, None)
         if number is None:
-            self.tally["answers too late"] += 1  # it crossed the KILL; the request has gone on without it
-            link.killed.pop(a.id, None)
+            self.tally["answers unasked"] += 1  # it crossed the KILL, or is a second copy, or nobody's
             return
+        if a.outcome is not Outcome.OK:
+            link.spent[a.id] = self.now
         self.rest(link)
         probe = self.probes.pop(number, None)
         if probe:
@@ -225,14 +228,25 @@
             return
         if link.load():
             self.log(f"connection to {link.server} lost with {link.load()} out: {lost.why}")
-        for numbers, outcome in ((link.waiting, Outcome.CONNECT_FAILED), (link.out, Outcome.RESET)):
+        waits = Outcome.CONNECT_FAILED if lost.down else Outcome.MOOT
+        for numbers, outcome in ((link.waiting, waits), (link.out, Outcome.RESET)):
             for n in list(numbers.values()):
                 probe = self.probes.pop(n, None)
                 if probe:
                     self.events.append(api.Probed(probe.server, outcome, self.now - probe.began_ns))
-                else:
+                elif outcome is not Outcome.MOOT or not self.redial(self.attempts[n]):
                     self.ended(self.attempts[n], outcome)
 
+    def redial(self, attempt: Attempt) -> bool:
+        """Whether an attempt waits for another connection now.  One that was reset as soon as it stood tells
+        nothing of the server, and nothing was sent on it."""
+        attempt.dials += 1
+        link = self.link_for(attempt.fetch.cache, attempt.request) if attempt.dials < DIALS_MOST else None
+        if link:
+            attempt.link = link
+            self.place(attempt)
+        return link is not None
+
     def on_due(self, timer: Timer, number: int, more: int) -> None:
         if timer is Timer.ATTEMPT:
             attempt = self.attempts.get(number)
@@ -244,7 +258,7 @@
             link = self.links.by_number.get(number)
             if link and not link.up:
                 self.effects.append(m.Drop(number))
-                self.on_lost(m.LinkLost(number, "no connection in time"))
+                self.on_lost(m.LinkLost(number, "no connection in time", True))
         elif timer is Timer.PROBE:
             probe = self.probes.pop(number, None)
             if probe:
@@ -395,7 +409,7 @@
     def withdraw(self, attempt: Attempt) -> None:
         """Give a sent attempt up at its server, its connection being others' too."""
         link, id = attempt.link, attempt.request.call.trace
-        link.killed[id] = self.now
+        link.spent[id] = self.now
         self.effects.append(m.Kill(link.number, id))
 
     def rest(self, link: Link) -> None:
@@ -411,8 +425,8 @@
         self.wake(HOUSE_NS, Timer.HOUSE)
         idle = int(IDLE_SHARE * self.config.idle_ns)
         for link in list(self.links.by_number.values()):
-            for id in [i for i, at in link.killed.items() if self.now - at > KILLED_NS]:
-                del link.killed[id]
+            for id in [i for i, at in link.spent.items() if self.now - at > SPENT_NS]:
+                del link.spent[id]
             if link.up and not link.load() and idle and self.now - link.idle_ns > idle:
                 link.shunned = True
                 self.rest(link)
@@ -460,9 +474,8 @@
         request = self.requests.get(int(f.id))
         if request is None or not holds(not request.answered, "no attempt behind the final answer"):
             return
-        c = request.call
         index, request.tries = request.tries, request.tries + 1
-        link = self.link_for(f.cache, c.trace)
+        link = self.link_for(f.cache, request)
         if link is None or f.source not in self.endpoints:
             self.events.append(api.AttemptEnded(f.id, index, f.cache, Outcome.MOOT, 0, False))
             return  # the module hears of it in this same input
@@ -473,11 +486,16 @@
         # The module is told at the deadline, so that its last answer goes out within the slack.
         due = min(self.now + f.timeout_ns, request.deadline_ns) if f.timeout_ns else request.deadline_ns
         self.effects.append(m.Wake(due, (Timer.ATTEMPT, self.made, 0)))
+        self.place(attempt)
+
+    def place(self, attempt: Attempt) -> None:
+        """Write an attempt, or let it wait until its connection stands."""
+        link, trace = attempt.link, attempt.request.call.trace
         if link.up:
-            link.out[c.trace] = self.made
+            link.out[trace] = attempt.number
             self.pull(attempt)
         else:
-            link.waiting[c.trace] = self.made
+            link.waiting[trace] = attempt.number
 
     def pull(self, attempt: Attempt) -> None:
         """Write an attempt.  Its time limit is what is left of it now."""
@@ -490,9 +508,13 @@
             rank=f.rank, age_limit_ms=max(1, f.max_age_ns // MS) if f.max_age_ns else 0, join=f.join,
             held_only=f.held_only, no_parent_copy=f.no_parent_copy, renew=f.renew, tag=c.tag, body=c.body))
 
-    def link_for(self, server: str, id: str) -> Link | None:
-        """A connection for one more, opened if need be."""
-        link = self.links.find(server, id)
+    def link_for(self, server: str, request: Request | None, id: str = "") -> Link | None:
+        """A connection for one more, opened if need be.  What must not run twice goes out on one of its own:
+        it could not be repeated if another's answer spoilt the connection."""
+        if request:
+            id = request.call.trace
+        alone = request is not None and self.classes[request.call.cls].effect is api.Effect.UNSAFE
+        link = self.links.find(server, id, alone)
         if link is None and server in self.endpoints:
             endpoint = self.endpoints[server]
             link = self.links.add(endpoint)
@@ -500,6 +522,8 @@
                 self.tally["dials"] += 1
                 self.effects.append(m.Dial(link.number, endpoint.address))
                 self.wake(self.config.dial_ns, Timer.DIAL, link.number)
+        if link and not link.load():
+            link.alone = alone
         return link
 
     def cancel(self, a: api.Cancel) -> None:
@@ -528,7 +552,7 @@
         """Ask a server for its load."""
         self.made += 1
         id = f"probe-{self.made}"
-        link = self.link_for(server, id)
+        link = self.link_for(server, None, id)
         if link is None:
             self.events.append(api.Probed(server, Outcome.MOOT, 0))
             return
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -47,6 +47,10 @@
 COLD_SAFETY = 0.6              # share of the toppling budget that we spend: others may guess otherwise
 UNTOLD_ROOM = 0.5              # a peer's capacity over our load on it, which in a jam is more than it can do
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # further attempts earned by each request, and their store
+RESETS_FREE = 2                # lost connections after which a request tries the same server again
+HEDGE_DEVS = 3.0               # mean deviations past the usual time that call for a second copy
+HEDGE_SHARE, HEDGE_BURST = 0.04, 8.0  # second copies earned by each request, and their store
+ERROR_STRIKE = 0.3             # an error that blames nobody: the server lives, the request may be at fault
 PURGE_MARGIN_NS = MS           # an age limit is this much younger than the purge
 PURGE_KEEP_NS = 60 * SECOND_NS  # a fill under way at a purge may land after the servers' sweep: see age_limit
 FIRST_UNIT_NS = 300 * MS       # sending time of a request until any answer tells
@@ -141,13 +145,13 @@
     """Whether a server is dead, by evidence; the only owner of that fact."""
 
     def __init__(self) -> None:
-        self.strikes, self.dead, self.heard_ns, self.trial_ns = 0, False, 0, 0
+        self.strikes, self.dead, self.heard_ns, self.trial_ns = 0.0, False, 0, 0
         self.pause_ns = TRIAL_EVERY_NS     # until its next trial
         self.lost = False      # failed as a stopped process does, so it comes back cold
 
     def good(self, now: int) -> bool:
         """A success; True if it brought the server back."""
-        back, self.strikes, self.dead, self.heard_ns = self.dead, 0, False, now
+        back, self.strikes, self.dead, self.heard_ns = self.dead, 0.0, False, now
         self.pause_ns = TRIAL_EVERY_NS
         return back
 
@@ -155,7 +159,7 @@
         """A trial is sent.  Each costs a request and every router sends its own, so they grow rarer."""
         self.trial_ns, self.pause_ns = now + self.pause_ns, min(2 * self.pause_ns, TRIAL_MOST_NS)
 
-    def bad(self, now: int, strikes: int, lost: bool) -> bool:
+    def bad(self, now: int, strikes: float, lost: bool) -> bool:
         """A blamed failure; True if it made the server dead."""
         self.strikes += strikes
         self.lost = lost
@@ -240,6 +244,7 @@
         self.tries = 0
         self.done = self.started = self.judged = False
         self.fills = self.look = False     # looks like a fill; only a hit is wanted
+        self.resets = 0                    # attempts lost with their connection
         self.bad_caches: set[str] = set()
         self.bad_sources: set[str] = set()
         self.memo: Memo | None = None
@@ -260,7 +265,7 @@
         self.ratio = {c.name: Spread(1.0) for c in settings.classes}  # answer time over expected sending time
         self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
         self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
-        self.retries = RETRY_BURST
+        self.retries, self.hedges = RETRY_BURST, HEDGE_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
         self.ticking = False
@@ -337,6 +342,7 @@
         key = mix(r.object * 65_537 + r.part)
         held = self.held[r.id] = Held(self.now, r, cls, key)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.hedges = min(HEDGE_BURST, self.hedges + HEDGE_SHARE)
         if not cls.uncacheable:
             memo = held.memo = self.memory.setdefault(key, Memo(last_ns=self.now))
             self.memory.move_to_end(key)
@@ -389,8 +395,10 @@
         self.ticking = False
         self.silence()
         for held in list(self.held.values()):
-            if not held.done and not held.started and self.overdue(held):
-                self.judge(held, True, held.fills)
+            if not held.done and not held.started:
+                if self.overdue(held):
+                    self.judge(held, True, held.fills)
+                self.hedge(held)
         for key in [k for k, (_, until) in self.purges.items() if until < self.now]:
             del self.purges[key]
         if self.held:
@@ -432,6 +440,11 @@
             self.actions.append(api.Fail(held.request.id))
             self.close(held)
             return
+        if e.outcome is Outcome.RESET and held.resets < RESETS_FREE:
+            # The copy is there, or on its way: elsewhere it would be filled once more.  may_send still holds.
+            held.resets += 1
+            self.advance(held)
+            return
         filled = attempt.source is not attempt.node
         source_fault = e.outcome is Outcome.MISS or e.note in (
             Note.SOURCE_REFUSED, Note.SOURCE_BROKE, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
@@ -708,9 +721,9 @@
         if e.outcome is Outcome.MISS:
             self.revive(a.node)
             return
-        if e.outcome in (Outcome.CANCELLED, Outcome.MOOT):
-            return
-        if e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        if e.outcome in (Outcome.CANCELLED, Outcome.MOOT, Outcome.RESET):
+            return  # a lost connection is no lost server: whether one is there, the next connection tells
+        if e.outcome is Outcome.CONNECT_FAILED:
             self.blame(a.node, DEAD_STRIKES, True)
         elif e.note is Note.ORIGIN_FAILED or (e.note is Note.SOURCE_REFUSED
                                               and a.source.line.role is Role.ORIGIN):
@@ -719,6 +732,8 @@
         elif e.note is Note.SOURCE_BROKE:
             # Not reached is lost; broken off may be a fill's time limit in a jam.
             self.blame(a.source, DEAD_STRIKES if e.outcome is Outcome.FULL else 1, True)
+        elif e.note is Note.NONE and e.outcome is Outcome.ERROR:
+            self.blame(a.node, ERROR_STRIKE, False)
         elif e.note is Note.NONE and e.outcome is not Outcome.FULL:
             self.blame_silent(a, 1)
 
@@ -731,13 +746,29 @@
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
                     self.blame_silent(a, DEAD_STRIKES)
 
+    def hedge(self, held: Held) -> None:
+        """Exception: an answer may never come though its server goes on answering others.  Well past its time
+        another server is asked too; few at a time, as in a jam all are late and copies make it worse."""
+        if len(held.out) != 1 or held.cls.effect is not Effect.SAFE or self.hedges < 1:
+            return
+        attempt = next(iter(held.out.values()))
+        left = held.deadline_ns - self.now
+        if (not self.s.limits.second_copies or held.tries >= self.s.limits.max_attempts
+                or self.now - attempt.sent_ns < self.usual(held, HEDGE_DEVS) or left < self.usual(held, 0.0)):
+            return
+        held.bad_caches.add(attempt.node.line.name)
+        picked = self.pick(held)
+        if picked:
+            self.hedges -= 1
+            self.send(held, *picked, left)
+
     def blame_silent(self, a: Attempt, strikes: int) -> None:
         """The cause is not told: whoever was heard since the send is not it."""
         node = a.node if a.node.health.heard_ns <= a.sent_ns else a.source
         if node.health.heard_ns <= a.sent_ns and node.line.role is not Role.ORIGIN:
             self.blame(node, strikes, False)
 
-    def blame(self, node: Node, strikes: int, lost: bool) -> None:
+    def blame(self, node: Node, strikes: float, lost: bool) -> None:
         if node.health.bad(self.now, strikes, lost):
             self.actions.append(api.Log(f"{node.line.role.value} {node.line.name} is dead: only trials"))
 
