--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -48,8 +48,6 @@
 UNTOLD_ROOM = 0.5              # a peer's capacity over our load on it, which in a jam is more than it can do
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # further attempts earned by each request, and their store
 RESETS_FREE = 2                # lost connections after which a request tries the same server again
-HEDGE_DEVS = 3.0               # mean deviations past the usual time that call for a second copy
-HEDGE_SHARE, HEDGE_BURST = 0.04, 8.0  # second copies earned by each request, and their store
 ERROR_STRIKE = 0.3             # an error that blames nobody: the server lives, the request may be at fault
 PURGE_MARGIN_NS = MS           # an age limit is this much younger than the purge
 PURGE_KEEP_NS = 60 * SECOND_NS  # a fill under way at a purge may land after the servers' sweep: see age_limit
@@ -265,7 +263,7 @@
         self.ratio = {c.name: Spread(1.0) for c in settings.classes}  # answer time over expected sending time
         self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
         self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
-        self.retries, self.hedges = RETRY_BURST, HEDGE_BURST
+        self.retries = RETRY_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
         self.ticking = False
@@ -342,7 +340,6 @@
         key = mix(r.object * 65_537 + r.part)
         held = self.held[r.id] = Held(self.now, r, cls, key)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
-        self.hedges = min(HEDGE_BURST, self.hedges + HEDGE_SHARE)
         if not cls.uncacheable:
             memo = held.memo = self.memory.setdefault(key, Memo(last_ns=self.now))
             self.memory.move_to_end(key)
@@ -395,10 +392,8 @@
         self.ticking = False
         self.silence()
         for held in list(self.held.values()):
-            if not held.done and not held.started:
-                if self.overdue(held):
-                    self.judge(held, True, held.fills)
-                self.hedge(held)
+            if not held.done and not held.started and self.overdue(held):
+                self.judge(held, True, held.fills)
         for key in [k for k, (_, until) in self.purges.items() if until < self.now]:
             del self.purges[key]
         if self.held:
@@ -746,22 +741,6 @@
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
                     self.blame_silent(a, DEAD_STRIKES)
 
-    def hedge(self, held: Held) -> None:
-        """Exception: an answer may never come though its server goes on answering others.  Well past its time
-        another server is asked too; few at a time, as in a jam all are late and copies make it worse."""
-        if len(held.out) != 1 or held.cls.effect is not Effect.SAFE or self.hedges < 1:
-            return
-        attempt = next(iter(held.out.values()))
-        left = held.deadline_ns - self.now
-        if (not self.s.limits.second_copies or held.tries >= self.s.limits.max_attempts
-                or self.now - attempt.sent_ns < self.usual(held, HEDGE_DEVS) or left < self.usual(held, 0.0)):
-            return
-        held.bad_caches.add(attempt.node.line.name)
-        picked = self.pick(held)
-        if picked:
-            self.hedges -= 1
-            self.send(held, *picked, left)
-
     def blame_silent(self, a: Attempt, strikes: int) -> None:
         """The cause is not told: whoever was heard since the send is not it."""
         node = a.node if a.node.health.heard_ns <= a.sent_ns else a.source
