--- a/kelpcroft/links.py
+++ b/kelpcroft/links.py
@@ -6,8 +6,8 @@
 
 from kelpcroft.messages import Endpoint
 
-SHARED = 4                   # attempts that one connection carries, before one more is opened
-EACH_MOST = 12               # connections to one server, before they carry more
+SHARED = 8                   # attempts that one connection carries, before one more is opened
+EACH_MOST = 8                # connections to one server, before they carry more
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -70,7 +70,7 @@
 def test_a_second_copy_is_asked_for_where_answers_were_lost() -> None:
     """Servers answered others, so nothing was blamed, and 2.5% of requests waited till their clients went."""
     p = policy(second_copies=True)
-    p.ratio["safe"].dev = 0.1
+    p.good["safe"].dev = 0.1
 
     def waits(name: str, at: int) -> tuple[api.Fetch, list[api.Fetch]]:
         (f,) = fetches(ask(p, at, name, 1, size_kb=100.0))
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -48,7 +48,7 @@
 UNTOLD_ROOM = 0.5              # a peer's capacity over our load on it, which in a jam is more than it can do
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # further attempts earned by each request, and their store
 RESETS_FREE = 2                # lost connections after which a request tries the same server again
-COPY_DEVS, COPY_NEEDS = 1.5, 0.5  # an answer is missed so many mean deviations late; what a copy needs
+COPY_DEVS, COPY_NEEDS = 2.0, 0.5  # an answer is missed so many mean deviations late; what a copy needs
 COPY_EARNS, COPY_BURST = 2.0, 12.0  # second copies earned by one answer that never came, and their store
 ERROR_STRIKE = 0.3             # an error that blames nobody: the server lives, the request may be at fault
 PURGE_MARGIN_NS = MS           # an age limit is this much younger than the purge
@@ -264,6 +264,7 @@
         self.memory: OrderedDict[int, Memo] = OrderedDict()
         self.purges: dict[tuple[int | None, int], tuple[int, int]] = {}  # when, until when it matters
         self.ratio = {c.name: Spread(1.0) for c in settings.classes}  # answer time over expected sending time
+        self.good = {c.name: Spread(1.0) for c in settings.classes}  # the same of answers that came
         self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
         self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
         self.retries, self.copies = RETRY_BURST, 0.0
@@ -658,9 +659,9 @@
             return held.request.size_kb / self.s.pace_kb_per_s * SECOND_NS
         return held.memo and held.memo.unit_ns or self.unit[held.cls.name].mean
 
-    def usual(self, held: Held, devs: float) -> int:
-        """The answer time to expect, with so many mean deviations on top."""
-        ratio = self.ratio[held.cls.name]
+    def usual(self, held: Held, devs: float, came: bool = False) -> int:
+        """The answer time to expect, with so many mean deviations on top; or only of answers that came."""
+        ratio = (self.good if came else self.ratio)[held.cls.name]
         return int((self.expected(held) + 100 * MS) * (ratio.mean + devs * ratio.dev))
 
     def timeout(self, held: Held, trial: bool, left: int) -> int:
@@ -702,6 +703,7 @@
             a.node.full_ns = now + FULL_PAUSE_NS
         if e.outcome is Outcome.OK:
             self.revive(a.node)
+            self.good[name].add(e.took_ns / (self.expected(held) + 100 * MS))
             unit = self.expected(held)
             if self.sized(held):
                 self.unit[name].add(unit)
@@ -761,7 +763,7 @@
                 or any(gate.cutoff < GATE_OPEN for gate in self.gates.values())):
             return
         attempt = next(iter(held.out.values()))
-        late = max(self.usual(held, COPY_DEVS), self.aim(held) - self.usual(held, COPY_NEEDS))
+        late = max(self.usual(held, COPY_DEVS, True), self.aim(held) - self.usual(held, COPY_NEEDS, True))
         if self.now - attempt.sent_ns < late or self.now >= held.deadline_ns:
             return
         held.bad_caches.add(attempt.node.line.name)
