--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -48,8 +48,6 @@
 UNTOLD_ROOM = 0.5              # a peer's capacity over our load on it, which in a jam is more than it can do
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # further attempts earned by each request, and their store
 RESETS_FREE = 2                # lost connections after which a request tries the same server again
-COPY_DEVS, COPY_NEEDS = 2.0, 0.5  # an answer is missed so many mean deviations late; what a copy needs
-COPY_EARNS, COPY_BURST = 2.0, 12.0  # second copies earned by one answer that never came, and their store
 ERROR_STRIKE = 0.3             # an error that blames nobody: the server lives, the request may be at fault
 PURGE_MARGIN_NS = MS           # an age limit is this much younger than the purge
 PURGE_KEEP_NS = 60 * SECOND_NS  # a fill under way at a purge may land after the servers' sweep: see age_limit
@@ -245,7 +243,6 @@
         self.done = self.started = self.judged = False
         self.fills = self.look = False     # looks like a fill; only a hit is wanted
         self.resets = 0                    # attempts lost with their connection
-        self.copy = -1                     # number of the attempt that is a second copy
         self.bad_caches: set[str] = set()
         self.bad_sources: set[str] = set()
         self.memo: Memo | None = None
@@ -264,10 +261,9 @@
         self.memory: OrderedDict[int, Memo] = OrderedDict()
         self.purges: dict[tuple[int | None, int], tuple[int, int]] = {}  # when, until when it matters
         self.ratio = {c.name: Spread(1.0) for c in settings.classes}  # answer time over expected sending time
-        self.good = {c.name: Spread(1.0) for c in settings.classes}  # the same of answers that came
         self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
         self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
-        self.retries, self.copies = RETRY_BURST, 0.0
+        self.retries = RETRY_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
         self.ticking = False
@@ -386,7 +382,6 @@
         if not e.outcome.proves_not_run and not held.ran_at:
             held.ran_ns, held.ran_at = attempt.sent_ns, attempt.node
         self.learn(held, attempt, e)
-        self.missed(held, attempt, e)
         if e.final or held.done:
             self.close(held)
         elif not held.out and not held.started:
@@ -397,10 +392,8 @@
         self.ticking = False
         self.silence()
         for held in list(self.held.values()):
-            if not held.done and not held.started:
-                if self.overdue(held):
-                    self.judge(held, True, held.fills)
-                self.second(held)
+            if not held.done and not held.started and self.overdue(held):
+                self.judge(held, True, held.fills)
         for key in [k for k, (_, until) in self.purges.items() if until < self.now]:
             del self.purges[key]
         if self.held:
@@ -659,9 +652,9 @@
             return held.request.size_kb / self.s.pace_kb_per_s * SECOND_NS
         return held.memo and held.memo.unit_ns or self.unit[held.cls.name].mean
 
-    def usual(self, held: Held, devs: float, came: bool = False) -> int:
-        """The answer time to expect, with so many mean deviations on top; or only of answers that came."""
-        ratio = (self.good if came else self.ratio)[held.cls.name]
+    def usual(self, held: Held, devs: float) -> int:
+        """The answer time to expect, with so many mean deviations on top."""
+        ratio = self.ratio[held.cls.name]
         return int((self.expected(held) + 100 * MS) * (ratio.mean + devs * ratio.dev))
 
     def timeout(self, held: Held, trial: bool, left: int) -> int:
@@ -703,7 +696,6 @@
             a.node.full_ns = now + FULL_PAUSE_NS
         if e.outcome is Outcome.OK:
             self.revive(a.node)
-            self.good[name].add(e.took_ns / (self.expected(held) + 100 * MS))
             unit = self.expected(held)
             if self.sized(held):
                 self.unit[name].add(unit)
@@ -749,30 +741,6 @@
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
                     self.blame_silent(a, DEAD_STRIKES)
 
-    def missed(self, held: Held, a: Attempt, e: api.AttemptEnded) -> None:
-        """Earn second copies: an answer did not come, of a server that answered others or has the object."""
-        if (e.outcome is Outcome.OK and e.attempt == held.copy and held.out) or (
-                e.outcome is Outcome.TIMEOUT and not held.fills and a.node.health.heard_ns > a.sent_ns):
-            self.copies = min(COPY_BURST, self.copies + COPY_EARNS)
-
-    def second(self, held: Held) -> None:
-        """Exception: where answers were seen to be lost, another cache is asked while there is still time for
-        an answer in time.  Not in a jam, where all are late; a copy that was not needed earns no other."""
-        if (self.copies < 1 or held.copy >= 0 or len(held.out) != 1 or held.cls.effect is not Effect.SAFE
-                or not self.s.limits.second_copies or held.tries >= self.s.limits.max_attempts
-                or any(gate.cutoff < GATE_OPEN for gate in self.gates.values())):
-            return
-        attempt = next(iter(held.out.values()))
-        late = max(self.usual(held, COPY_DEVS, True), self.aim(held) - self.usual(held, COPY_NEEDS, True))
-        if self.now - attempt.sent_ns < late or self.now >= held.deadline_ns:
-            return
-        held.bad_caches.add(attempt.node.line.name)
-        picked = self.pick(held)
-        if picked:
-            self.copies -= 1
-            held.copy = held.tries
-            self.send(held, *picked, held.deadline_ns - self.now)
-
     def blame_silent(self, a: Attempt, strikes: int) -> None:
         """The cause is not told: whoever was heard since the send is not it."""
         node = a.node if a.node.health.heard_ns <= a.sent_ns else a.source
