--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -156,6 +156,7 @@
     MODULE = "module"        # a timer of the decision module
     ATTEMPT = "attempt"      # an attempt's time-out
     DIAL = "dial"            # a connection must stand by now
+    QUIET = "quiet"          # has anything come on a connection?
     PROBE = "probe"          # a probe's time-out
     FEED = "feed"            # poll the feed again
     HOUSE = "house"          # idle connections, counters
--- a/kelpcroft/reducer.py
+++ b/kelpcroft/reducer.py
@@ -26,6 +26,9 @@
 COUNT_NS = 10 * SECOND       # between lines of counters in the log
 IDLE_SHARE = 0.7             # of the servers' idle time after which we close: a send never meets their close
 SPENT_NS = 10 * SECOND       # how long a given-up or answered id is kept off its connection
+QUIET_LEAST_NS = 300 * MS    # a connection may be quiet so long at the least ...
+QUIET_DEVS, TOOK_GAIN = 4.0, 0.05  # ... or so many mean deviations past an answer's usual time; its averaging
+QUIET_OUT = 3                # with so many out on it, it need not be heard that the server answers others
 DIALS_MOST = 3               # connections that are tried for one attempt while each breaks at once
 FEED_AGAIN_NS = 25 * MS      # after a failed poll that followed another failed one
 ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
@@ -100,6 +103,7 @@
         self.feed_at = config.feed
         self.feed_failures = 0
         self.counted_ns = 0
+        self.took_ns = self.took_dev_ns = float(QUIET_LEAST_NS)  # an answer's usual time, mean and deviation
         self.tally: Counter[str] = Counter()
         self.effects: list[Effect] = []
         self.events: deque[api.Event] = deque()
@@ -203,6 +207,9 @@
             return
         attempt = self.attempts[number]
         request = attempt.request
+        took = self.now - attempt.began_ns
+        self.took_dev_ns += TOOK_GAIN * (abs(took - self.took_ns) - self.took_dev_ns)
+        self.took_ns += TOOK_GAIN * (took - self.took_ns)
         if a.outcome is Outcome.OK and not request.answered:
             self.finish(request, m.Serve(request.call.client, request.call.call, a.body, a.same))
             self.tally["served"] += 1
@@ -265,6 +272,8 @@
                 probe.link.out.pop(probe.id, None)
                 probe.link.waiting.pop(probe.id, None)
                 self.events.append(api.Probed(probe.server, Outcome.TIMEOUT, self.now - probe.began_ns))
+        elif timer is Timer.QUIET:
+            self.on_quiet(number)
         elif timer is Timer.FEED:
             self.effects.append(m.Poll(self.seen))
         elif timer is Timer.HOUSE:
@@ -284,6 +293,31 @@
         else:
             self.ended(attempt, Outcome.MOOT)
 
+    def on_quiet(self, number: int) -> None:
+        """A connection on which nothing comes while its server answers on others gives up what is out on it.
+        The answers may never come though it stays open, and it would draw more requests as the fullest."""
+        link = self.links.by_number.get(number)
+        if link is None:
+            return
+        link.watched = False
+        began = [self.attempts[n].began_ns for n in link.out.values() if n in self.attempts]
+        if link.alone or not began:
+            return
+        since = max(min(began), link.heard_ns)
+        patience = self.quiet_ns()
+        heard = any(o.heard_ns > since for o in self.links.by_server[link.server] if o is not link)
+        if self.now - since >= patience and (heard or len(began) >= QUIET_OUT):
+            self.tally["quiet connections"] += 1
+            self.effects.append(m.Drop(number))
+            self.on_lost(m.LinkLost(number, "nothing has come on it"))
+        else:
+            link.watched = True
+            self.wake(max(since + patience - self.now, QUIET_LEAST_NS // 4), Timer.QUIET, number)
+
+    def quiet_ns(self) -> int:
+        """How long a connection may be quiet: well past the usual time of an answer, as TCP reckons it."""
+        return max(QUIET_LEAST_NS, int(self.took_ns + QUIET_DEVS * self.took_dev_ns))
+
     def on_news(self, news: m.News) -> None:
         """Events of the feed, in their order; then the next poll at once, as the feed counts as heard."""
         for event in news.events:
@@ -501,6 +535,9 @@
         """Write an attempt.  Its time limit is what is left of it now."""
         f, c = attempt.fetch, attempt.request.call
         attempt.sent = True
+        if not attempt.link.watched:
+            attempt.link.watched = True
+            self.wake(self.quiet_ns(), Timer.QUIET, attempt.link.number)
         due = min(attempt.began_ns + f.timeout_ns, attempt.request.deadline_ns)
         self.effects.append(m.Pull(
             link=attempt.link.number, id=c.trace, cls=c.cls, object=c.object, part=c.part,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,7 @@
 from kelpcroft.net.front import FrontCodec, FrontError
 from kelpcroft.net.loop import CLIENTS_NS, IDLE_NS, SILENT_NS, STALLED_NS, Client, Clock, Loop, Server
 from kelpcroft.net.shelf import ShelfCodec
-from kelpcroft.reducer import MS, Reducer
+from kelpcroft.reducer import MS, SECOND, Reducer
 from zincgrade.interface import Note, Outcome
 
 TRACE = "00000000000000ab"
@@ -158,6 +158,25 @@
         r.handle(NOW, m.LinkLost(dial.link, "ECONNREFUSED", True))
         self.assertTrue(any(n.health.dead for n in r.policy.nodes.values()))
 
+    def test_a_quiet_connection_is_given_up(self) -> None:
+        """Its answers never came though it stayed open; as the fullest it drew all its server was sent."""
+        r = router()
+        (dial,) = only(m.Dial, r.handle(NOW, call(1, patience=4_900)))
+        (wake,) = [e for e in r.handle(NOW, m.LinkUp(dial.link)) if isinstance(e, m.Wake)]
+        self.assertEqual(wake.key, (m.Timer.QUIET, dial.link, 0))
+        for number in (2, 3):
+            r.handle(NOW + MS, call(number, patience=4_900))
+        later = wake.at_ns + SECOND
+        heard = m.Answer(dial.link, call(2).trace, Outcome.OK, Note.HIT, 0, {}, False, b"two")
+        r.handle(NOW + 2 * MS, heard)
+        self.assertEqual(only(m.Drop, r.handle(later, m.Due(wake.key))), [], "one on its own may be slow")
+        r.handle(later, call(4))
+        effects = r.handle(later + SECOND, m.Due(wake.key))
+        self.assertEqual(only(m.Drop, effects), [m.Drop(dial.link)])
+        (again,) = only(m.Dial, effects)
+        self.assertEqual(again.address, dial.address, "what may run again is tried on the same server")
+        self.assertEqual(len(only(m.Pull, r.handle(later + SECOND, m.LinkUp(again.link)))), 3)
+
     def test_few_share_a_connection_and_an_order_shares_none(self) -> None:
         """One answer that could not be read failed 28 requests, and orders among them for good."""
         links = Links(64, 32)
