Split the reducer by concern: requests, attempts, members, and the state they share

Now core/state.py has the tables, core/requests.py, attempts.py and members.py change them, and core/reducer.py dispatches; it is still the only way in. Methods moved as they were. The distribution is named kelpcroft.

--- /dev/null
+++ b/kelpcroft/core/attempts.py
@@ -0,0 +1,266 @@
+"""Attempts and the connections they go out on: from the module's Fetch to the one end that it is told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from kelpcroft import messages as m
+from kelpcroft.core.links import Link
+from kelpcroft.core.requests import Requests
+from kelpcroft.core.state import MS, SECOND, Attempt, Probe, Request, State
+from kelpcroft.invariants import holds
+from kelpcroft.messages import Timer
+from zincgrade import interface as api
+from zincgrade.interface import Note, Outcome
+
+IDLE_SHARE = 0.7             # of the servers' idle time after which we close: a send never meets their close
+SPENT_NS = 10 * SECOND       # how long a given-up or answered id is kept off its connection
+QUIET_LEAST_NS = 300 * MS    # a connection may be quiet so long at the least ...
+QUIET_DEVS, TOOK_GAIN = 4.0, 0.05  # ... or so many mean deviations past an answer's usual time; its averaging
+QUIET_OUT = 3                # with so many out on it, it need not be heard that the server answers others
+DIALS_MOST = 3               # connections that are tried for one attempt while each breaks at once
+
+
+class Attempts:
+    """Carries out what the module asks for, and tells it once how each attempt ended."""
+
+    def __init__(self, state: State, requests: Requests) -> None:
+        self.state, self.requests = state, requests
+        self.took_ns = self.took_dev_ns = float(QUIET_LEAST_NS)  # an answer's usual time, mean and deviation
+
+    def on_answer(self, a: m.Answer) -> None:
+        link = self.state.links.by_number.get(a.link)
+        if link is None:
+            return
+        link.heard_ns = self.state.now
+        number = link.out.pop(a.id, None)
+        if number is None:
+            self.state.tally["answers unasked"] += 1  # it crossed the KILL, or is a second copy, or nobody's
+            return
+        if a.outcome is not Outcome.OK:
+            link.spent[a.id] = self.state.now
+        self.rest(link)
+        probe = self.state.probes.pop(number, None)
+        if probe:
+            self.probed(probe, a.outcome, a.report)
+            return
+        attempt = self.state.attempts[number]
+        request = attempt.request
+        took = self.state.now - attempt.began_ns
+        self.took_dev_ns += TOOK_GAIN * (abs(took - self.took_ns) - self.took_dev_ns)
+        self.took_ns += TOOK_GAIN * (took - self.took_ns)
+        if a.outcome is Outcome.OK and not request.answered:
+            self.requests.finish(request, m.Serve(request.call.client, request.call.call, a.body, a.same))
+            self.state.tally["served"] += 1
+        self.ended(attempt, a.outcome, a.note, a.waited_ns, a.report)
+
+    def on_probe_late(self, number: int) -> None:
+        """A probe's time is over."""
+        probe = self.state.probes.pop(number, None)
+        if probe:
+            probe.link.out.pop(probe.id, None)
+            probe.link.waiting.pop(probe.id, None)
+            self.probed(probe, Outcome.TIMEOUT)
+
+    def probed(self, probe: Probe, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        """A probe's end, told to the module."""
+        took = self.state.now - probe.began_ns
+        self.state.events.append(api.Probed(probe.server, outcome, took, report or {}))
+
+    def on_up(self, number: int) -> None:
+        link = self.state.links.by_number.get(number)
+        if link is None:
+            return
+        link.up, link.heard_ns, link.idle_ns = True, self.state.now, self.state.now
+        waiting, link.waiting = link.waiting, {}
+        for id, n in waiting.items():
+            link.out[id] = n
+            if n in self.state.probes:
+                self.state.effects.append(m.Check(number, id))
+            else:
+                self.pull(self.state.attempts[n])
+
+    def on_lost(self, lost: m.LinkLost) -> None:
+        """Before it stood nothing was sent, so nothing ran; what was out when it broke may have run."""
+        link = self.state.links.remove(lost.link)
+        if link is None:
+            return
+        if link.load():
+            self.state.log(f"connection to {link.server} lost with {link.load()} out: {lost.why}")
+        waits = Outcome.CONNECT_FAILED if lost.down else Outcome.MOOT
+        for numbers, outcome in ((link.waiting, waits), (link.out, Outcome.RESET)):
+            for n in list(numbers.values()):
+                probe = self.state.probes.pop(n, None)
+                if probe:
+                    self.probed(probe, outcome)
+                elif outcome is not Outcome.MOOT or not self.redial(self.state.attempts[n]):
+                    self.ended(self.state.attempts[n], outcome)
+
+    def redial(self, attempt: Attempt) -> bool:
+        """Whether an attempt waits for another connection now.  One that was reset as soon as it stood tells
+        nothing of the server, and nothing was sent on it."""
+        attempt.dials += 1
+        link = self.link_for(attempt.fetch.cache, attempt.request) if attempt.dials < DIALS_MOST else None
+        if link:
+            attempt.link = link
+            self.place(attempt)
+        return link is not None
+
+    def on_silent(self, attempt: Attempt) -> None:
+        """Its time is over.  One that still waits for its connection has certainly not run."""
+        link = attempt.link
+        if attempt.sent:
+            if link.heard_ns <= attempt.began_ns:
+                # Nothing at all since: the machine may be cut off, and come back behind another connection.
+                link.shunned = True
+            self.withdraw(attempt)
+            self.ended(attempt, Outcome.TIMEOUT)
+        else:
+            self.ended(attempt, Outcome.MOOT)
+
+    def on_quiet(self, number: int) -> None:
+        """A connection on which nothing comes while its server answers on others gives up what is out on it.
+        The answers may never come though it stays open, and it would draw more requests as the fullest."""
+        link = self.state.links.by_number.get(number)
+        if link is None:
+            return
+        link.watched = False
+        began = [self.state.attempts[n].began_ns for n in link.out.values() if n in self.state.attempts]
+        if link.alone or not began:
+            return
+        since = max(min(began), link.heard_ns)
+        patience = self.quiet_ns()
+        heard = any(o.heard_ns > since for o in self.state.links.by_server[link.server] if o is not link)
+        if self.state.now - since >= patience and (heard or len(began) >= QUIET_OUT):
+            self.state.tally["quiet connections"] += 1
+            self.state.effects.append(m.Drop(number))
+            self.on_lost(m.LinkLost(number, "nothing has come on it"))
+        else:
+            link.watched = True
+            self.state.wake(max(since + patience - self.state.now, QUIET_LEAST_NS // 4), Timer.QUIET, number)
+
+    def quiet_ns(self) -> int:
+        """How long a connection may be quiet: well past the usual time of an answer, as TCP reckons it."""
+        return max(QUIET_LEAST_NS, int(self.took_ns + QUIET_DEVS * self.took_dev_ns))
+
+    def recall(self, stale: Callable[[Attempt], bool]) -> None:
+        """Rules 3 and 5: what still waits for its connection was chosen before this news; the module chooses
+        anew, as it would otherwise be sent up to a dial's time after the news."""
+        for attempt in [a for a in self.state.attempts.values() if not a.sent and stale(a)]:
+            self.ended(attempt, Outcome.MOOT)
+
+    def ended(self, attempt: Attempt, outcome: Outcome, note: Note = Note.NONE, waited_ns: int = 0,
+              report: dict[str, float] | None = None) -> None:
+        """An attempt's end, told to the module once."""
+        if not holds(self.state.attempts.pop(attempt.number, None) is not None, "an attempt ends once"):
+            return
+        request, link = attempt.request, attempt.link
+        link.waiting.pop(request.call.trace, None)
+        link.out.pop(request.call.trace, None)
+        self.rest(link)
+        del self.state.tries[request.id, attempt.index]
+        request.out -= 1
+        self.state.touched.append(request)
+        self.state.tally[outcome.name.lower()] += 1
+        self.state.events.append(api.AttemptEnded(
+            request.id, attempt.index, attempt.fetch.cache, outcome, self.state.now - attempt.began_ns,
+            request.answered, note, waited_ns, report or {}))
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give a sent attempt up at its server, its connection being others' too."""
+        link, id = attempt.link, attempt.request.call.trace
+        link.spent[id] = self.state.now
+        self.state.effects.append(m.Kill(link.number, id))
+
+    def rest(self, link: Link) -> None:
+        """Note an idle connection; close it where nothing more may be sent on it."""
+        if not link.load() and link.number in self.state.links.by_number:
+            link.idle_ns = self.state.now
+            if link.shunned:
+                self.state.links.remove(link.number)
+                self.state.effects.append(m.Drop(link.number))
+
+    def fetch(self, f: api.Fetch) -> None:
+        """Send an attempt, now or when its connection stands."""
+        request = self.state.requests.get(int(f.id))
+        if request is None or not holds(not request.answered, "no attempt behind the final answer"):
+            return
+        index, request.tries = request.tries, request.tries + 1
+        link = self.link_for(f.cache, request)
+        if link is None or f.source not in self.state.endpoints:
+            self.state.events.append(api.AttemptEnded(f.id, index, f.cache, Outcome.MOOT, 0, False))
+            return  # the module hears of it in this same input
+        self.state.made += 1
+        attempt = Attempt(self.state.made, request, f, self.state.now, index, link)
+        request.out += 1
+        self.state.attempts[self.state.made], self.state.tries[f.id, index] = attempt, self.state.made
+        # The module is told at the deadline, so that its last answer goes out within the slack.
+        due = min(self.state.now + f.timeout_ns, request.deadline_ns) if f.timeout_ns else request.deadline_ns
+        self.state.effects.append(m.Wake(due, (Timer.ATTEMPT, self.state.made, 0)))
+        self.place(attempt)
+
+    def place(self, attempt: Attempt) -> None:
+        """Write an attempt, or let it wait until its connection stands."""
+        link, trace = attempt.link, attempt.request.call.trace
+        if link.up:
+            link.out[trace] = attempt.number
+            self.pull(attempt)
+        else:
+            link.waiting[trace] = attempt.number
+
+    def pull(self, attempt: Attempt) -> None:
+        """Write an attempt.  Its time limit is what is left of it now."""
+        f, c = attempt.fetch, attempt.request.call
+        attempt.sent = True
+        if not attempt.link.watched:
+            attempt.link.watched = True
+            self.state.wake(self.quiet_ns(), Timer.QUIET, attempt.link.number)
+        due = min(attempt.began_ns + f.timeout_ns, attempt.request.deadline_ns)
+        self.state.effects.append(m.Pull(
+            link=attempt.link.number, id=c.trace, cls=c.cls, object=c.object, part=c.part,
+            limit_ms=max(1, (due - self.state.now) // MS), source="" if f.source == f.cache else f.source,
+            rank=f.rank, age_limit_ms=max(1, f.max_age_ns // MS) if f.max_age_ns else 0, join=f.join,
+            held_only=f.held_only, no_parent_copy=f.no_parent_copy, renew=f.renew, tag=c.tag, body=c.body))
+
+    def link_for(self, server: str, request: Request | None, id: str = "") -> Link | None:
+        """A connection for one more, opened if need be.  What must not run twice goes out on one of its own:
+        it could not be repeated if another's answer spoilt the connection."""
+        if request:
+            id = request.call.trace
+        alone = request is not None and self.state.classes[request.call.cls].effect is api.Effect.UNSAFE
+        link = self.state.links.find(server, id, alone)
+        if link is None and server in self.state.endpoints:
+            endpoint = self.state.endpoints[server]
+            link = self.state.links.add(endpoint)
+            if link:
+                self.state.tally["dials"] += 1
+                self.state.effects.append(m.Dial(link.number, endpoint.address))
+                self.state.wake(self.state.config.dial_ns, Timer.DIAL, link.number)
+        if link and not link.load():
+            link.alone = alone
+        return link
+
+    def cancel(self, a: api.Cancel) -> None:
+        """Stop waiting for an attempt of a request, answered or not."""
+        number = self.state.tries.get((a.id, a.attempt))
+        if number is not None:
+            attempt = self.state.attempts[number]
+            if attempt.sent:
+                self.withdraw(attempt)
+            self.ended(attempt, Outcome.CANCELLED)
+
+    def probe(self, server: str) -> None:
+        """Ask a server for its load."""
+        self.state.made += 1
+        id = f"probe-{self.state.made}"
+        link = self.link_for(server, None, id)
+        if link is None:
+            self.state.events.append(api.Probed(server, Outcome.MOOT, 0))
+            return
+        self.state.probes[self.state.made] = Probe(server, link, id, self.state.now)
+        self.state.wake(self.state.config.dial_ns, Timer.PROBE, self.state.made)
+        if link.up:
+            link.out[id] = self.state.made
+            self.state.effects.append(m.Check(link.number, id))
+        else:
+            link.waiting[id] = self.state.made
--- /dev/null
+++ b/kelpcroft/core/members.py
@@ -0,0 +1,92 @@
+"""The list of servers and the purges that the feed tells, and where the feed is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+from kelpcroft import messages as m
+from kelpcroft.core.attempts import Attempts
+from kelpcroft.core.state import MS, Attempt, State
+from kelpcroft.messages import Timer
+from zincgrade import interface as api
+
+FEED_AGAIN_NS = 25 * MS      # after a failed poll that followed another failed one
+
+
+def concerns(purge: m.Purge, attempt: Attempt) -> bool:
+    """Whether an attempt asks for what was purged."""
+    call = attempt.request.call
+    return call.group == purge.group if purge.object is None else call.object_number == purge.object
+
+
+class Members:
+    """Who may be used, and up to which event of the feed that is known."""
+
+    def __init__(self, state: State, attempts: Attempts, drive: Callable[[], None]) -> None:
+        self.state, self.attempts, self.drive = state, attempts, drive
+        self.seen = 0                                        # last event of the feed
+        self.listed = False                                  # a list has come
+        self.feed_at = state.config.feed
+        self.feed_failures = 0
+
+    def on_news(self, news: m.News) -> None:
+        """Events of the feed, in their order; then the next poll at once, as the feed counts as heard."""
+        for event in news.events:
+            if isinstance(event, m.Members):
+                self.on_members(event)
+            else:
+                self.state.tally["purges"] += 1
+                ago = max(0, self.state.now - event.at_ns)
+                self.state.events.append(api.Purged(event.object, event.group, ago))
+                self.drive()
+                self.attempts.recall(partial(concerns, event))
+        self.seen = news.last
+        self.state.effects.append(m.Poll(self.seen))
+
+    def on_members(self, members: m.Members) -> None:
+        form = "update" if self.listed and not members.whole else "replace" if self.listed else "restored"
+        if form == "replace":
+            kept = {e.name for e in members.endpoints}
+            for name in [n for n in self.state.endpoints if n not in kept]:
+                self.leave(name)
+        self.listed = True
+        for e in members.endpoints:
+            if e.state == "in_service":
+                self.state.endpoints[e.name] = e
+            else:
+                self.leave(e.name)
+        role = self.state.config.kinds.role
+        self.state.events.append(api.ServerList(form, tuple(
+            api.Server(e.name, role(e.kind), e.zone, e.cell, e.state, e.weight, e.started_ns)
+            for e in members.endpoints)))
+        self.drive()
+        known = self.state.endpoints
+        self.attempts.recall(lambda a: a.fetch.cache not in known or a.fetch.source not in known)
+
+    def leave(self, name: str) -> None:
+        """A server takes nothing new; its connections go once they are empty."""
+        self.state.endpoints.pop(name, None)
+        for link in list(self.state.links.by_server.get(name, ())):
+            link.shunned = True
+            self.attempts.rest(link)
+
+    def on_feed_lost(self, lost: m.FeedLost) -> None:
+        self.feed_failures += 1
+        if self.feed_failures == 1:
+            self.state.log(f"feed: {lost.why}")
+            self.state.effects.append(m.Poll(self.seen))
+        else:
+            self.state.wake(FEED_AGAIN_NS, Timer.FEED)
+
+    def on_reload(self, new: m.Reload) -> None:
+        """A new file may name another address of the feed.  Its numbers go on, so nothing is told twice.  A
+        file that cannot be used changes nothing."""
+        if new.feed is None:
+            self.state.log(f"configuration not taken: {new.why}")
+        elif new.feed == self.feed_at:
+            self.state.log("configuration read again: the feed stays where it is")
+        else:
+            self.state.log(f"configuration read again: the feed is at {new.feed[0]}:{new.feed[1]}")
+            self.feed_at, self.feed_failures = new.feed, 0
+            self.state.effects += [m.Move(new.feed), m.Poll(self.seen)]
--- /dev/null
+++ b/kelpcroft/core/reducer.py
@@ -0,0 +1,171 @@
+"""All changes to the router's state: an input and the time go in, effects come out.
+
+No socket and no clock is read here, and nothing is decided here: which server, which source, when to give up
+and what to refuse are the decision module's, to which each input that concerns it is handed as an event.
+"""
+
+from __future__ import annotations
+
+from kelpcroft import messages as m
+from kelpcroft.config import Config
+from kelpcroft.core.attempts import IDLE_SHARE, SPENT_NS, Attempts
+from kelpcroft.core.members import Members
+from kelpcroft.core.requests import Requests
+from kelpcroft.core.state import MS, SECOND, State
+from kelpcroft.invariants import counts, holds
+from kelpcroft.messages import Effect, Timer
+from zincgrade import interface as api
+
+HOUSE_NS = SECOND            # between looks at idle connections
+COUNT_NS = 10 * SECOND       # between lines of counters in the log
+ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
+LAME_NS = 800 * MS           # and requests on open ones at least so long
+
+
+class Reducer:
+    """Dispatch of inputs to the parts that own them.  ``handle`` is the only way to change the state."""
+
+    def __init__(self, config: Config) -> None:
+        self.state = State(config)
+        self.requests = Requests(self.state)
+        self.attempts = Attempts(self.state, self.requests)
+        self.members = Members(self.state, self.attempts, self.drive)
+        self.listening = self.ending = False
+        self.ended_ns = 0
+        self.counted_ns = 0
+
+    def start(self, now: int) -> list[Effect]:
+        """The first effects: what was known at the start is taken in, and the feed is asked for the rest."""
+        self.state.now, self.state.effects = now, []
+        self.act(self.state.policy.start(now))
+        self.members.on_news(self.state.config.known)
+        self.state.wake(HOUSE_NS, Timer.HOUSE)
+        self.counted_ns = now
+        self.drive()
+        return self.state.effects
+
+    def handle(self, now: int, message: m.Input) -> list[Effect]:
+        """One input."""
+        self.state.now, self.state.effects = now, []
+        if isinstance(message, m.Call):
+            self.requests.on_call(message)
+        elif isinstance(message, m.Answer):
+            self.attempts.on_answer(message)
+        elif isinstance(message, m.Due):
+            self.on_due(*message.key)
+        elif isinstance(message, m.CallOff):
+            request = self.state.calls.get(message.client, {}).get(message.call)
+            if request:
+                self.state.tally["cancelled by client"] += 1
+                self.requests.gone(request)
+        elif isinstance(message, m.AskHealth):
+            fit = self.listening and self.members.listed and not self.ending
+            self.state.effects.append(m.TellHealth(message.client, message.call, fit))
+        elif isinstance(message, m.ClientLost):
+            for request in list(self.state.calls.get(message.client, {}).values()):
+                self.requests.gone(request)
+            self.state.calls.pop(message.client, None)
+        elif isinstance(message, m.LinkUp):
+            self.attempts.on_up(message.link)
+        elif isinstance(message, m.LinkLost):
+            self.attempts.on_lost(message)
+        elif isinstance(message, m.News):
+            self.members.feed_failures = 0
+            self.members.on_news(message)
+        elif isinstance(message, m.FeedLost):
+            self.members.on_feed_lost(message)
+        elif isinstance(message, m.Listening):
+            self.listening = True
+        elif isinstance(message, m.Reload):
+            self.members.on_reload(message)
+        else:
+            self.on_terminate()
+        self.drive()
+        return self.state.effects
+
+    def on_due(self, timer: Timer, number: int, more: int) -> None:
+        if timer is Timer.ATTEMPT:
+            attempt = self.state.attempts.get(number)
+            if attempt:
+                self.attempts.on_silent(attempt)
+        elif timer is Timer.MODULE:
+            self.state.events.append(api.TimerDue(number))
+        elif timer is Timer.DIAL:
+            link = self.state.links.by_number.get(number)
+            if link and not link.up:
+                self.state.effects.append(m.Drop(number))
+                self.attempts.on_lost(m.LinkLost(number, "no connection in time", True))
+        elif timer is Timer.PROBE:
+            self.attempts.on_probe_late(number)
+        elif timer is Timer.QUIET:
+            self.attempts.on_quiet(number)
+        elif timer is Timer.FEED:
+            self.state.effects.append(m.Poll(self.members.seen))
+        elif timer is Timer.HOUSE:
+            self.keep_house()
+        else:
+            self.on_lame(number)
+
+    def on_terminate(self) -> None:
+        """Connections and requests go on coming for a while; then all that was taken is served first."""
+        if not self.ending:
+            self.ending, self.ended_ns = True, self.state.now
+            self.state.log(f"ending: {len(self.state.requests)} requests open")
+            self.state.wake(ACCEPT_NS, Timer.LAME, 1)
+            self.state.wake(LAME_NS, Timer.LAME, 2)
+
+    def on_lame(self, step: int) -> None:
+        if step == 1:
+            self.state.effects.append(m.StopAccepting())
+        elif self.state.requests:
+            self.state.wake(10 * MS, Timer.LAME, 2)
+        else:
+            self.count()
+            self.state.effects.append(m.Exit())
+
+    def keep_house(self) -> None:
+        """Idle connections go before their server closes them: a request must not meet that close."""
+        self.state.wake(HOUSE_NS, Timer.HOUSE)
+        idle = int(IDLE_SHARE * self.state.config.idle_ns)
+        for link in list(self.state.links.by_number.values()):
+            for id in [i for i, at in link.spent.items() if self.state.now - at > SPENT_NS]:
+                del link.spent[id]
+            if link.up and not link.load() and idle and self.state.now - link.idle_ns > idle:
+                link.shunned = True
+                self.attempts.rest(link)
+        if self.state.now - self.counted_ns >= COUNT_NS:
+            self.count()
+
+    def count(self) -> None:
+        """Counters for the log, broken invariants with them."""
+        s, self.counted_ns = self.state, self.state.now
+        tally = ", ".join(f"{k} {v}" for k, v in s.tally.items())
+        s.log(f"open {len(s.requests)}, attempts {len(s.attempts)}, connections {len(s.links.by_number)}; "
+              f"{tally}; broken invariants: {counts() or 'none'}")
+
+    def drive(self) -> None:
+        """Hand events to the module until it has seen all that its own actions caused."""
+        while self.state.events:
+            self.act(self.state.policy.handle(self.state.now, self.state.events.popleft()))
+        if self.state.touched:
+            touched, self.state.touched = self.state.touched, []
+            for request in touched:
+                # Rule 1: the module either tries on or answers; it has no reason to sit on a request.
+                if not request.answered and not holds(request.out > 0, "a request is tried or answered"):
+                    self.requests.finish(request, m.Break(request.call.client, request.call.call))
+
+    def act(self, actions: list[api.Action]) -> None:
+        for a in actions:
+            if isinstance(a, api.Fetch):
+                self.attempts.fetch(a)
+            elif isinstance(a, api.SetTimer):
+                self.state.effects.append(m.Wake(a.at_ns, (Timer.MODULE, a.label, 0)))
+            elif isinstance(a, api.Cancel):
+                self.attempts.cancel(a)
+            elif isinstance(a, (api.Refuse, api.Fail)):
+                self.requests.give_up(a)
+            elif isinstance(a, api.Log):
+                self.state.log(a.text)
+            elif isinstance(a, api.Probe):
+                self.attempts.probe(a.cache)
+            # Subscribe needs nothing: the feed is polled all the time.
--- /dev/null
+++ b/kelpcroft/core/requests.py
@@ -0,0 +1,77 @@
+"""Clients' calls: what is taken, and the one final answer that each is owed."""
+
+from __future__ import annotations
+
+from kelpcroft import messages as m
+from kelpcroft.core.state import Request, State
+from kelpcroft.invariants import holds
+from zincgrade import interface as api
+
+OPEN_MOST = 32               # calls that one client may have open
+
+
+class Requests:
+    """Takes calls in and answers them once."""
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def on_call(self, c: m.Call) -> None:
+        """Bad clients get an error or a close here, before anything is sent on for them: servers answer their
+        requests with errors, which would tell against the server and against the request with the same id."""
+        here = self.state.calls.get(c.client, {})
+        if c.call in here or len(here) >= OPEN_MOST:
+            self.state.tally["hung up on"] += 1
+            self.state.effects.append(m.HangUp(
+                c.client, f"call {c.call} is open already" if c.call in here else "too many calls open"))
+            return
+        cls = self.state.classes.get(c.cls)
+        if cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces:
+            self.state.tally["not usable"] += 1
+            self.state.effects.append(m.Break(c.client, c.call))
+            return
+        most = self.state.config.settings.limits.max_open
+        if most and len(self.state.requests) >= most:
+            self.state.effects.append(m.Decline(c.client, c.call, 0))
+            return
+        self.state.made += 1
+        request = Request(str(self.state.made), c, self.state.now + c.patience_ns)
+        self.state.requests[self.state.made] = self.state.calls.setdefault(c.client, {})[c.call] = request
+        self.state.traces.add(c.trace)
+        self.state.tally["taken"] += 1
+        self.state.touched.append(request)
+        self.state.events.append(api.Request(
+            id=request.id, cls=c.cls, patience_ns=c.patience_ns, object=c.object_number, part=c.part_number,
+            group=c.group, write=len(c.body) > 0, retry=c.retry))
+
+    def finish(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
+        """The final answer, or None where the client wants none."""
+        if not holds(not request.answered, "one final answer for each request"):
+            return
+        request.answered = True
+        del self.state.requests[int(request.id)]
+        self.state.traces.discard(request.call.trace)
+        open_here = self.state.calls[request.call.client]
+        del open_here[request.call.call]
+        if not open_here:
+            del self.state.calls[request.call.client]
+        if answer:
+            self.state.effects.append(answer)
+
+    def gone(self, request: Request) -> None:
+        """The client has stopped waiting."""
+        self.finish(request, None)
+        self.state.events.append(api.ClientGone(request.id))
+
+    def give_up(self, a: api.Refuse | api.Fail) -> None:
+        """The module's final answer, at once."""
+        request = self.state.requests.get(int(a.id))
+        if request is None:
+            return
+        client, call = request.call.client, request.call.call
+        if isinstance(a, api.Refuse):
+            self.state.tally["refused"] += 1
+            self.finish(request, m.Decline(client, call, a.retry_in_ns))
+        else:
+            self.state.tally["failed"] += 1
+            self.finish(request, m.Break(client, call))
--- /dev/null
+++ b/kelpcroft/core/state.py
@@ -0,0 +1,87 @@
+"""What the reducer owns: its tables, the time of the input in hand, and the effects asked for so far.
+
+The parts of the core (requests, attempts, members) share one State; only they and the reducer change it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass
+
+from kelpcroft import messages as m
+from kelpcroft.config import Config
+from kelpcroft.core.links import Link, Links
+from kelpcroft.messages import Effect, Timer
+from zincgrade import interface as api
+from zincgrade.policy import Policy
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+CLIENT_SHARE = 3             # clients hold at most one of so many descriptors
+SPARE_SOCKETS = 24           # listener, feed, log, selector and the like
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt that is out, or waits for its connection."""
+
+    number: int
+    request: Request
+    fetch: api.Fetch
+    began_ns: int
+    index: int
+    link: Link
+    sent: bool = False
+    dials: int = 0                                          # connections that broke before it was sent
+
+
+@dataclass(slots=True)
+class Request:
+    """A call until its final answer has been asked for and its last attempt has ended."""
+
+    id: str
+    call: m.Call
+    deadline_ns: int
+    answered: bool = False
+    tries: int = 0
+    out: int = 0                                            # attempts
+
+
+@dataclass(slots=True)
+class Probe:
+    """A probe that is out."""
+
+    server: str
+    link: Link
+    id: str
+    began_ns: int
+
+
+class State:
+    """The tables.  Each has an end: requests by ``limits.max_open``, connections by the descriptors."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.policy = Policy(config.settings)
+        self.classes = {c.name: c for c in config.settings.classes}
+        clients = config.sockets // CLIENT_SHARE
+        self.links = Links(config.sockets - clients - SPARE_SOCKETS, config.max_streams)
+        self.endpoints: dict[str, m.Endpoint] = {}
+        self.requests: dict[int, Request] = {}               # those that owe an answer
+        self.calls: dict[int, dict[int, Request]] = {}       # the same, by client and call
+        self.traces: set[str] = set()                        # of those
+        self.attempts: dict[int, Attempt] = {}
+        self.tries: dict[tuple[str, int], int] = {}          # the same, by request and the module's number
+        self.probes: dict[int, Probe] = {}
+        self.made = 0                                        # numbers given to requests, attempts and probes
+        self.tally: Counter[str] = Counter()
+        self.effects: list[Effect] = []
+        self.events: deque[api.Event] = deque()              # for the module, of this input
+        self.touched: list[Request] = []                     # new, or with an attempt ended, in this input
+        self.now = 0
+
+    def wake(self, after_ns: int, timer: Timer, number: int = 0) -> None:
+        self.effects.append(m.Wake(self.now + after_ns, (timer, number, 0)))
+
+    def log(self, text: str) -> None:
+        self.effects.append(m.Log(text))
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -13,10 +13,10 @@
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
+from kelpcroft.core.reducer import Reducer
 from kelpcroft.net import front, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
-from kelpcroft.reducer import Reducer
 
 SECOND = 1_000_000_000
 READS = 2                    # buffers read from one connection before the others have their turn
@@ -524,7 +524,7 @@
     def spare(self, client: Client) -> bool:
         """Whether nothing is owed on a client's connection and nothing waits to be written."""
         waits = client.backlog.size() or client in self.dirty
-        return not waits and client.number not in self.reducer.calls
+        return not waits and client.number not in self.reducer.state.calls
 
     def make_room(self) -> bool:
         """One client goes for another: the longest silent that never asked, else the longest idle."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -10,12 +10,13 @@
 
 from kelpcroft import messages as m
 from kelpcroft.config import parse
-from kelpcroft.links import SHARED, Links
+from kelpcroft.core.links import SHARED, Links
+from kelpcroft.core.reducer import Reducer
+from kelpcroft.core.state import MS, SECOND
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.front import FrontCodec, FrontError
 from kelpcroft.net.loop import CLIENTS_NS, IDLE_NS, SILENT_NS, STALLED_NS, Client, Clock, Loop, Server
 from kelpcroft.net.shelf import ShelfCodec
-from kelpcroft.reducer import MS, SECOND, Reducer
 from zincgrade.interface import Note, Outcome
 
 TRACE = "00000000000000ab"
@@ -130,7 +131,7 @@
         (dial,) = only(m.Dial, r.handle(NOW, call(1)))
         r.handle(NOW, m.LinkUp(dial.link))
         (kill,) = only(m.Kill, r.handle(NOW, m.CallOff(1, 1)))
-        self.assertIsNone(r.links.find(r.links.by_number[dial.link].server, kill.id))
+        self.assertIsNone(r.state.links.find(r.state.links.by_number[dial.link].server, kill.id))
         late = m.Answer(dial.link, kill.id, Outcome.OK, Note.HIT, 0, {}, False, b"late")
         self.assertEqual(r.handle(NOW, late), [])
 
@@ -143,7 +144,7 @@
         (other,) = only(m.Dial, r.handle(NOW, miss))
         self.assertNotEqual(other.link, dial.link)
         self.assertEqual(r.handle(NOW, miss), [])
-        self.assertEqual(len(r.attempts), 1)
+        self.assertEqual(len(r.state.attempts), 1)
 
     def test_a_connection_reset_when_new_tells_nothing(self) -> None:
         """It counted as refused: the server was dead, and cold when it was back."""
@@ -152,11 +153,11 @@
         (again,) = only(m.Dial, r.handle(NOW, m.LinkLost(dial.link, "ECONNRESET")))
         self.assertEqual(again.address, dial.address)
         self.assertEqual(len(only(m.Pull, r.handle(NOW, m.LinkUp(again.link)))), 1)
-        self.assertFalse(any(n.health.dead for n in r.policy.nodes.values()))
+        self.assertFalse(any(n.health.dead for n in r.state.policy.nodes.values()))
         r = router()
         (dial,) = only(m.Dial, r.handle(NOW, call(1)))
         r.handle(NOW, m.LinkLost(dial.link, "ECONNREFUSED", True))
-        self.assertTrue(any(n.health.dead for n in r.policy.nodes.values()))
+        self.assertTrue(any(n.health.dead for n in r.state.policy.nodes.values()))
 
     def test_a_quiet_connection_is_given_up(self) -> None:
         """Its answers never came though it stayed open; as the fullest it drew all its server was sent."""
