Read the operator's KDL file, and bound requests by route through the one reducer

Need: one setting for all classes suits none; operators want waits, attempts, copies and budgets by route. kelpcroft/operator reads KDL 2 with a place for each value and refuses what breaks a rule; kelpcroft/routes finds a request's route, keeps budgets and fading quantiles, and grants frozen bounds that the decision module obeys (interface.Bounds, CopyDue, WaitOver, Wait). Without ROUTER_RULES nothing of it is imported. Log lines are JSON with names, and floods of one event are held down.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -1,4 +1,5 @@
-"""One request router, as its environment describes it.  Exit codes: 0 asked to end, 2 bad configuration."""
+"""One request router, as its environment describes it; ROUTER_RULES names the operator's file, if there is one.
+Exit codes: 0 asked to end, 2 bad configuration."""
 
 from __future__ import annotations
 
@@ -27,11 +28,20 @@
     except ConfigError as error:
         print(f"configuration: {error}", file=sys.stderr)
         return 2
-    loop = Loop(config, Clock(), partial(reload, os.environ))
+    first = rules = None
+    if os.environ.get("ROUTER_RULES"):
+        from kelpcroft.operator.service import start, steps  # not even imported without a file
+        try:
+            first = start(os.environ["ROUTER_RULES"], config.settings)
+        except ConfigError as error:
+            print(error, file=sys.stderr)
+            return 2
+        rules = partial(steps, os.environ["ROUTER_RULES"], config.settings)
+    loop = Loop(config, Clock(), partial(reload, os.environ), rules)
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
     try:
-        loop.run(ours)
+        loop.run(ours, first)
     except OSError as error:
         if loop.accepting:
             raise
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from kelpcroft import messages as m
 from kelpcroft.core.links import Link
@@ -13,11 +14,15 @@
 from zincgrade import interface as api
 from zincgrade.interface import Note, Outcome
 
+if TYPE_CHECKING:
+    from kelpcroft.routes import Grant
+
 IDLE_SHARE = 0.7             # of the servers' idle time after which we close: a send never meets their close
 SPENT_NS = 10 * SECOND       # how long a given-up or answered id is kept off its connection
 QUIET_LEAST_NS = 300 * MS    # a connection may be quiet so long at the least ...
 QUIET_DEVS, TOOK_GAIN = 4.0, 0.05  # ... or so many mean deviations past an answer's usual time; its averaging
 QUIET_OUT = 3                # with so many out on it, it need not be heard that the server answers others
+LASTED = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends whose time tells how long answers take
 DIALS_MOST = 3               # connections that are tried for one attempt while each breaks at once
 
 
@@ -86,7 +91,9 @@
         if link is None:
             return
         if link.load():
-            self.state.log(f"connection to {link.server} lost with {link.load()} out: {lost.why}")
+            out = link.load()
+            self.state.log("link.lost", f"connection to {link.server} lost with {out} out: {lost.why}",
+                           "warning", {"server": link.server, "out": out, "why": lost.why})
         waits = Outcome.CONNECT_FAILED if lost.down else Outcome.MOOT
         for numbers, outcome in ((link.waiting, waits), (link.out, Outcome.RESET)):
             for n in list(numbers.values()):
@@ -162,9 +169,15 @@
         request.out -= 1
         self.state.touched.append(request)
         self.state.tally[outcome.name.lower()] += 1
+        request.ran = not outcome.proves_not_run
+        grant, now, room = request.grant, self.state.now, True
+        if grant is not None:
+            room = grant.room(now)
+            if outcome in LASTED and attempt.sent:
+                grant.saw(now, now - attempt.began_ns)
         self.state.events.append(api.AttemptEnded(
             request.id, attempt.index, attempt.fetch.cache, outcome, self.state.now - attempt.began_ns,
-            request.answered, note, waited_ns, report or {}))
+            request.answered, note, waited_ns, report or {}, room))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Give a sent attempt up at its server, its connection being others' too."""
@@ -186,8 +199,12 @@
         if request is None or not holds(not request.answered, "no attempt behind the final answer"):
             return
         index, request.tries = request.tries, request.tries + 1
+        grant = request.grant
+        if grant is not None:
+            self.charge(request, grant)
         link = self.link_for(f.cache, request)
         if link is None or f.source not in self.state.endpoints:
+            request.ran = False
             self.state.events.append(api.AttemptEnded(f.id, index, f.cache, Outcome.MOOT, 0, False))
             return  # the module hears of it in this same input
         self.state.made += 1
@@ -199,6 +216,44 @@
         self.state.effects.append(m.Wake(due, (Timer.ATTEMPT, self.state.made, 0)))
         self.place(attempt)
 
+    def charge(self, request: Request, grant: Grant) -> None:
+        """The route pays for a further attempt, or for a copy of one that is out."""
+        paid = True
+        if request.out:
+            paid = grant.pay_copy(self.state.now)
+            self.state.tally["copies"] += 1
+        elif request.tries > 1 and request.ran and not request.waits:
+            paid = grant.pay(self.state.now)
+        request.waits = False
+        holds(paid, "no budget is overdrawn")
+        if grant.copy_ns:
+            due = self.state.now + grant.copy_ns
+            self.state.effects.append(m.Wake(due, (Timer.COPY, int(request.id), request.tries)))
+
+    def wait(self, a: api.Wait) -> None:
+        """A request waits for its next attempt, which its route pays for now."""
+        request = self.state.requests.get(int(a.id))
+        if request is None or not holds(not request.waits, "a request waits once"):
+            return
+        request.waits = True
+        if request.grant is not None:
+            holds(request.grant.pay(self.state.now), "no budget is overdrawn")
+        self.state.effects.append(m.Wake(a.until_ns, (Timer.AGAIN, int(a.id), 0)))
+
+    def on_again(self, number: int) -> None:
+        """A wait is over."""
+        request = self.state.requests.get(number)
+        if request and request.waits:
+            self.state.touched.append(request)
+            self.state.events.append(api.WaitOver(request.id))
+
+    def on_copy_due(self, number: int, tries: int) -> None:
+        """An attempt is out long enough for a second copy, if it is the last that was made."""
+        request = self.state.requests.get(number)
+        if request and request.out and request.tries == tries and request.grant is not None:
+            room = request.grant.copy_room(self.state.now)
+            self.state.events.append(api.CopyDue(request.id, room))
+
     def place(self, attempt: Attempt) -> None:
         """Write an attempt, or let it wait until its connection stands."""
         link, trace = attempt.link, attempt.request.call.trace
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -74,7 +74,7 @@
     def on_feed_lost(self, lost: m.FeedLost) -> None:
         self.feed_failures += 1
         if self.feed_failures == 1:
-            self.state.log(f"feed: {lost.why}")
+            self.state.log("feed.lost", f"feed: {lost.why}", "warning", {"why": lost.why})
             self.state.effects.append(m.Poll(self.seen))
         else:
             self.state.wake(FEED_AGAIN_NS, Timer.FEED)
@@ -83,10 +83,13 @@
         """A new file may name another address of the feed.  Its numbers go on, so nothing is told twice.  A
         file that cannot be used changes nothing."""
         if new.feed is None:
-            self.state.log(f"configuration not taken: {new.why}")
+            self.state.log("config.refused", f"configuration not taken: {new.why}", "warning",
+                           {"why": new.why})
         elif new.feed == self.feed_at:
-            self.state.log("configuration read again: the feed stays where it is")
+            self.state.log("config.read", "configuration read again: the feed stays where it is")
         else:
-            self.state.log(f"configuration read again: the feed is at {new.feed[0]}:{new.feed[1]}")
+            where = f"{new.feed[0]}:{new.feed[1]}"
+            self.state.log("config.read", f"configuration read again: the feed is at {where}", "info",
+                           {"feed": where})
             self.feed_at, self.feed_failures = new.feed, 0
             self.state.effects += [m.Move(new.feed), m.Poll(self.seen)]
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -78,6 +78,8 @@
             self.listening = True
         elif isinstance(message, m.Reload):
             self.members.on_reload(message)
+        elif isinstance(message, m.Rules):
+            self.on_rules(message)
         else:
             self.on_terminate()
         self.drive()
@@ -99,6 +101,10 @@
             self.attempts.on_probe_late(number)
         elif timer is Timer.QUIET:
             self.attempts.on_quiet(number)
+        elif timer is Timer.COPY:
+            self.attempts.on_copy_due(number, more)
+        elif timer is Timer.AGAIN:
+            self.attempts.on_again(number)
         elif timer is Timer.FEED:
             self.state.effects.append(m.Poll(self.members.seen))
         elif timer is Timer.HOUSE:
@@ -106,11 +112,29 @@
         else:
             self.on_lame(number)
 
+    def on_rules(self, rules: m.Rules) -> None:
+        """The operator's file was read.  Open requests keep what they were granted; one that may not be used
+        changes nothing."""
+        s = self.state
+        if rules.file is None:
+            s.log("rules.refused", f"operator's file not taken: {rules.why}; {rules.faults} in all", "warning",
+                  {"first": rules.why, "faults": rules.faults})
+            return
+        if s.routes is not None:
+            s.routes.replace(rules.file, s.now)
+        elif rules.file.routes:
+            from kelpcroft.routes import Table  # nothing of it is imported before a file wants it
+            settings = s.config.settings
+            s.routes = Table(rules.file, settings.zone, settings.seed, s.now)
+        count = len(rules.file.routes)
+        s.log("rules.taken", f"operator's file taken: {count} routes", "info", {"routes": count})
+
     def on_terminate(self) -> None:
         """Connections and requests go on coming for a while; then all that was taken is served first."""
         if not self.ending:
             self.ending, self.ended_ns = True, self.state.now
-            self.state.log(f"ending: {len(self.state.requests)} requests open")
+            count = len(self.state.requests)
+            self.state.log("router.ending", f"ending: {count} requests open", "info", {"open": count})
             self.state.wake(ACCEPT_NS, Timer.LAME, 1)
             self.state.wake(LAME_NS, Timer.LAME, 2)
 
@@ -140,8 +164,13 @@
         """Counters for the log, broken invariants with them."""
         s, self.counted_ns = self.state, self.state.now
         tally = ", ".join(f"{k} {v}" for k, v in s.tally.items())
-        s.log(f"open {len(s.requests)}, attempts {len(s.attempts)}, connections {len(s.links.by_number)}; "
-              f"{tally}; broken invariants: {counts() or 'none'}")
+        fields = {"open": len(s.requests), "attempts": len(s.attempts),
+                  "connections": len(s.links.by_number)}
+        s.log("router.counters", ", ".join(f"{k} {v}" for k, v in fields.items())
+              + f"; {tally}; broken invariants: {counts() or 'none'}", "info", {**fields, **s.tally})
+        for name, row in s.routes.tell() if s.routes is not None else ():
+            s.log("route.counters", f"{name}: " + ", ".join(f"{k} {v}" for k, v in row.items()), "info",
+                  {"name": name, **row})
 
     def drive(self) -> None:
         """Hand events to the module until it has seen all that its own actions caused."""
@@ -151,7 +180,9 @@
             touched, self.state.touched = self.state.touched, []
             for request in touched:
                 # Rule 1: the module either tries on or answers; it has no reason to sit on a request.
-                if not request.answered and not holds(request.out > 0, "a request is tried or answered"):
+                if request.answered or request.out or request.waits:
+                    continue
+                if not holds(False, "a request is tried or answered"):
                     self.requests.finish(request, m.Break(request.call.client, request.call.call))
 
     def act(self, actions: list[api.Action]) -> None:
@@ -160,12 +191,14 @@
                 self.attempts.fetch(a)
             elif isinstance(a, api.SetTimer):
                 self.state.effects.append(m.Wake(a.at_ns, (Timer.MODULE, a.label, 0)))
+            elif isinstance(a, api.Wait):
+                self.attempts.wait(a)
             elif isinstance(a, api.Cancel):
                 self.attempts.cancel(a)
             elif isinstance(a, (api.Refuse, api.Fail)):
                 self.requests.give_up(a)
             elif isinstance(a, api.Log):
-                self.state.log(a.text)
+                self.state.log("module.says", a.text)
             elif isinstance(a, api.Probe):
                 self.attempts.probe(a.cache)
             # Subscribe needs nothing: the feed is polled all the time.
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -35,14 +35,21 @@
             self.state.effects.append(m.Decline(c.client, c.call, 0))
             return
         self.state.made += 1
-        request = Request(str(self.state.made), c, self.state.now + c.patience_ns)
+        routes, patience, grant = self.state.routes, c.patience_ns, None
+        if routes is not None:
+            grant = routes.take(self.state.now, c.cls, c.object, c.group, c.part_number, c.retry,
+                                len(c.body) > 0, patience, c.waited_ns)
+            if grant is not None:
+                patience = grant.wait_ns
+        request = Request(str(self.state.made), c, self.state.now + patience, grant)
         self.state.requests[self.state.made] = self.state.calls.setdefault(c.client, {})[c.call] = request
         self.state.traces.add(c.trace)
         self.state.tally["taken"] += 1
         self.state.touched.append(request)
         self.state.events.append(api.Request(
-            id=request.id, cls=c.cls, patience_ns=c.patience_ns, object=c.object_number, part=c.part_number,
-            group=c.group, write=len(c.body) > 0, retry=c.retry))
+            id=request.id, cls=c.cls, patience_ns=patience, object=c.object_number, part=c.part_number,
+            group=c.group, write=len(c.body) > 0, retry=c.retry,
+            bounds=None if grant is None else grant.bounds))
 
     def finish(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
         """The final answer, or None where the client wants none."""
@@ -55,6 +62,8 @@
         del open_here[request.call.call]
         if not open_here:
             del self.state.calls[request.call.client]
+        if request.grant is not None:
+            request.grant.release()
         if answer:
             self.state.effects.append(answer)
 
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, deque
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
@@ -15,6 +16,9 @@
 from zincgrade import interface as api
 from zincgrade.policy import Policy
 
+if TYPE_CHECKING:                # imported where a file switches them on
+    from kelpcroft.routes import Grant, Table
+
 MS = 1_000_000
 SECOND = 1_000 * MS
 CLIENT_SHARE = 3             # clients hold at most one of so many descriptors
@@ -42,9 +46,12 @@
     id: str
     call: m.Call
     deadline_ns: int
+    grant: Grant | None = None                              # what its route lets it cost
     answered: bool = False
     tries: int = 0
     out: int = 0                                            # attempts
+    ran: bool = False                                       # the last end may have run
+    waits: bool = False                                     # for its next attempt, which is paid for
 
 
 @dataclass(slots=True)
@@ -73,6 +80,7 @@
         self.attempts: dict[int, Attempt] = {}
         self.tries: dict[tuple[str, int], int] = {}          # the same, by request and the module's number
         self.probes: dict[int, Probe] = {}
+        self.routes: Table | None = None                     # of the operator's file
         self.made = 0                                        # numbers given to requests, attempts and probes
         self.tally: Counter[str] = Counter()
         self.effects: list[Effect] = []
@@ -83,5 +91,6 @@
     def wake(self, after_ns: int, timer: Timer, number: int = 0) -> None:
         self.effects.append(m.Wake(self.now + after_ns, (timer, number, 0)))
 
-    def log(self, text: str) -> None:
-        self.effects.append(m.Log(text))
+    def log(self, event: str, text: str, level: str = "info",
+            fields: dict[str, object] | None = None) -> None:
+        self.effects.append(m.Log(event, text, level, fields or {}))
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -8,10 +8,13 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TypeVar, Union, dataclass_transform
+from typing import TYPE_CHECKING, TypeVar, Union, dataclass_transform
 
 from zincgrade.interface import Note, Outcome
 
+if TYPE_CHECKING:
+    from kelpcroft.operator.model import File
+
 Body = Union[bytes, bytearray, memoryview]
 T = TypeVar("T")
 
@@ -43,6 +46,7 @@
     retry: bool
     tag: str                 # of the copy that the client holds; "" = none
     body: Body
+    waited_ns: int = 0       # of the client's patience, gone before this was read
 
 
 @message
@@ -159,6 +163,8 @@
     QUIET = "quiet"          # has anything come on a connection?
     PROBE = "probe"          # a probe's time-out
     FEED = "feed"            # poll the feed again
+    COPY = "copy"            # a second copy of a request is due
+    AGAIN = "again"          # a request's wait between two attempts is over
     HOUSE = "house"          # idle connections, counters
     LAME = "lame"            # steps of the planned end
 
@@ -186,8 +192,17 @@
     why: str
 
 
+@message
+class Rules:
+    """The operator's file was read: what it says, or None, its first fault and how many there are."""
+
+    file: File | None
+    why: str = ""
+    faults: int = 0
+
+
 Input = Union[Call, CallOff, AskHealth, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost, Listening, Due,
-              Terminate, Reload]
+              Terminate, Reload, Rules]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -313,9 +328,12 @@
 
 @message
 class Log:
-    """A line for the people on call."""
+    """An event for the people on call: its name, a sentence, a level and what it is about."""
 
+    event: str
     text: str
+    level: str               # "info" or "warning"
+    fields: dict[str, object]
 
 
 @message
--- a/kelpcroft/net/front.py
+++ b/kelpcroft/net/front.py
@@ -95,7 +95,7 @@
             patience_ns=patience_ms * NS_PER_MS - self.waited_ns,
             object=item, part=str(number), object_number=int(item, 16), part_number=number,
             group=self.count(fields, "family", "0", GROUP_MOST), retry=fields.get("redo") == "1", tag=tag,
-            body=body.encode() if isinstance(body, str) else body)
+            body=body.encode() if isinstance(body, str) else body, waited_ns=self.waited_ns)
 
     @staticmethod
     def hexadecimal(fields: dict[str, Any], key: str) -> str:
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -7,13 +7,13 @@
 import selectors
 import signal
 import socket
-import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
 from kelpcroft.core.reducer import Reducer
+from kelpcroft.log import EventLog
 from kelpcroft.net import front, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
@@ -24,6 +24,7 @@
 POLL_WAIT_MS = 1_000         # a short wait, as only a silent one tells of a cut link
 POLL_LATE_NS = 1_400_000_000  # a poll that is out for so long is lost
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
+RULES_NS = 3_000_000         # the operator's file is read for so long in one turn
 CLIENTS_NS = 20_000_000      # new requests are read for so long in one turn
 SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
 IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
@@ -102,9 +103,14 @@
 class Loop:
     """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
 
-    def __init__(self, config: Config, clock: Clock, reload: Callable[[], m.Reload] | None = None) -> None:
+    def __init__(self, config: Config, clock: Clock, reload: Callable[[], m.Reload] | None = None,
+                 rules: Callable[[], Iterator[m.Rules | None]] | None = None, events: EventLog | None = None
+                 ) -> None:
         self.config, self.clock = config, clock
         self.reload = reload or (lambda: m.Reload(None, "there is no file"))
+        self.rules = rules                   # reads the operator's file in steps
+        self.reading: Iterator[m.Rules | None] | None = None
+        self.events = events or EventLog(config.name)
         self.feed_at = config.feed
         self.reducer = Reducer(config)
         self.selector = selectors.DefaultSelector()
@@ -127,13 +133,15 @@
 
     # Start and end ----------------------------------------------------------------------------------------
 
-    def run(self, signals: socket.socket | None = None) -> None:
-        """Serve until the reducer asks for the end."""
+    def run(self, signals: socket.socket | None = None, first: m.Rules | None = None) -> None:
+        """Serve until the reducer asks for the end, by the rules that are first given."""
         self.signals = signals
         if signals:
             self.selector.register(signals, selectors.EVENT_READ, None)
         self.carry_out(self.reducer.start(self.clock.now()))
         self.listen()
+        if first is not None:
+            self.tell(first)
         self.tell(m.Listening())
         while not self.stopping:
             self.turn()
@@ -148,7 +156,8 @@
         self.listener.bind(self.config.listen)
         self.listener.listen(1024)
         self.accept_more(True)
-        self.log(f"{self.config.name} listens on {self.config.listen[0]}:{self.listener.getsockname()[1]}")
+        at = f"{self.config.listen[0]}:{self.listener.getsockname()[1]}"
+        self.log("router.listens", f"{self.config.name} listens on {at}", {"at": at})
 
     def accept_more(self, on: bool) -> None:
         """Watch the listener or leave it alone."""
@@ -188,6 +197,9 @@
         """Wait, read, let what is due come due, write."""
         now = self.clock.now()
         wait = max(0, self.heap[0][0] - now) / SECOND if self.heap else 1.0
+        if self.reading is not None:
+            self.read_on(now + RULES_NS)
+            wait = 0.0
         ready = self.selector.select(min(wait, 1.0))
         before, self.selected_ns = self.selected_ns, self.clock.now()
         turns: tuple[list[tuple[Peer, int]], ...] = ([], [], [])
@@ -216,9 +228,20 @@
         """SIGHUP has the configuration read again, the others end the program."""
         if signal.SIGHUP in numbers:
             self.tell(self.reload())
+            self.reading = self.rules() if self.rules else None
         if any(number != signal.SIGHUP for number in numbers):
             self.tell(m.Terminate())
 
+    def read_on(self, until: int) -> None:
+        """A few steps of the operator's file: a large one takes a second, in which drains and purges come."""
+        for rules in self.reading or ():
+            if rules is not None:
+                self.reading = None
+                self.tell(rules)
+                return
+            if self.clock.now() > until:
+                return
+
     def serve(self, peer: Peer, events: int) -> None:
         """What the selector said of one connection, unless what came before it has closed it."""
         if events & selectors.EVENT_WRITE and peer.sock.fileno() >= 0:
@@ -295,7 +318,7 @@
                     client.leaving = True
                     self.lost.append((client, e.why))
             elif isinstance(e, m.Log):
-                self.log(e.text)
+                self.events.write(self.clock.now(), e)
             elif isinstance(e, m.StopAccepting):
                 self.accept_more(False)
                 if self.listener:
@@ -388,7 +411,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                self.log(f"accept: {error}")
+                self.log("accept.failed", f"accept: {error}", {"why": str(error)}, "warning")
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -480,7 +503,8 @@
                 self.close(peer)
                 if why and self.complaints < COMPLAINTS:
                     self.complaints += 1
-                    self.log(f"client {peer.number}: {why}")
+                    self.log("client.lost", f"client {peer.number}: {why}",
+                             {"client": peer.number, "why": why}, "warning")
                 self.tell(m.ClientLost(peer.number))
         elif isinstance(peer, Server) and peer.number in self.servers:
             self.close(peer)
@@ -534,5 +558,5 @@
             self.lose(min(found, key=lambda c: (c.said, c.heard_ns)), "")
         return bool(found)
 
-    def log(self, text: str) -> None:
-        print(text, file=sys.stderr, flush=True)
+    def log(self, event: str, text: str, fields: dict[str, object], level: str = "info") -> None:
+        self.events.write(self.clock.now(), m.Log(event, text, level, fields))
--- /dev/null
+++ b/kelpcroft/operator/check.py
@@ -0,0 +1,242 @@
+"""Whether a file may be used: by itself, and held against a deployment's settings.
+
+``load`` needs no deployment.  ``check`` knows the classes, zones and limits, and refuses what a rule forbids:
+a second run of what must not run twice, a wait past the client's give-up time, more sends than allowed.
+"""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Generator
+from pathlib import Path
+from typing import TypeVar
+
+from kelpcroft.messages import Rules
+from kelpcroft.operator.boxes import Cover
+from kelpcroft.operator.faults import Fault, Faults, Place, TooMany, instead, shown
+from kelpcroft.operator.model import Bounds, File, Route
+from kelpcroft.operator.reader import Reader
+from kelpcroft.operator.text import BYTES_MOST, tree
+from kelpcroft.routes.index import CELLS_MOST, too_complex
+from zincgrade import interface as api
+
+MS = 1_000_000
+T = TypeVar("T")
+Steps = Generator[None, None, T]
+
+
+def load(data: bytes) -> tuple[File, list[Fault]]:
+    """A file's bytes as a model, and all that is wrong with it without regard to a deployment."""
+    collects = gc.isenabled()
+    gc.disable()                             # nothing here is cyclic; collections took half of the time
+    try:
+        return finish(loading(data))
+    finally:
+        if collects:
+            gc.enable()
+
+
+def loading(data: bytes) -> Steps[tuple[File, list[Fault]]]:
+    """``load`` in steps of well under a millisecond, for a process that has other work."""
+    faults, file = Faults(), File()
+    try:
+        file = yield from Reader(faults).file(tree(data, faults))
+        if not faults.count:
+            yield from alone(file, faults)
+    except TooMany:
+        pass
+    return file, faults.sorted()
+
+
+def finish(steps: Steps[T]) -> T:
+    """All steps at once."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            found: T = end.value
+            return found
+
+
+def read(path: Path) -> bytes:
+    """A file's bytes, one more than may be at the most.  Raises OSError."""
+    with path.open("rb") as stream:
+        return stream.read(BYTES_MOST + 1)
+
+
+def reading(path: Path, settings: api.Settings) -> Steps[Rules]:
+    """A file in steps, as what the reducer is told of it: the file itself where it may be used."""
+    try:
+        data = read(path)
+    except OSError as error:
+        return Rules(None, f"{path}: {error.strerror}", 1)
+    file, faults = yield from loading(data)
+    if not faults:
+        faults = yield from checking(file, settings)
+    return Rules(None, faults[0].text(str(path)), len(faults)) if faults else Rules(file)
+
+
+def alone(file: File, faults: Faults) -> Steps[None]:
+    """What needs no deployment to be wrong."""
+    for route in file.routes:
+        yield
+        bounds_alone(route.bounds, f"route {shown(route.name)}", route.place, faults)
+    if not file.routes and file.defaults != Bounds():
+        place = min(file.defaults.places.values(), default=Place(1, 1))
+        faults.add(place, "no-rest", "the defaults have no route to apply to; add route \"rest\" { match }")
+    cells = too_complex(file.routes)
+    if cells:
+        faults.add(file.routes[0].place, "too-complex", f"{cells} meetings of group and part ranges under "
+                   f"one object prefix, {CELLS_MOST} at most; use fewer ranges, or name objects")
+
+
+def bounds_alone(b: Bounds, owner: str, place: Place, faults: Faults) -> None:
+    """One route's bounds against each other."""
+    at = b.places.get
+    wait = b.timeout.ns if b.timeout else 0
+    attempt = b.attempt.longest() if b.attempt else 0
+    if wait and attempt > wait:
+        faults.add(at("attempt", place), "attempt-over-route",
+                   f"{owner}: an attempt may take {span(attempt)} and the whole answer {span(wait)}")
+    elif wait and b.attempt and b.attempt.least_ns > wait:
+        faults.add(at("attempt", place), "attempt-over-route",
+                   f"{owner}: an attempt has {span(b.attempt.least_ns)} at the least, "
+                   f"the whole answer {span(wait)}")
+    if b.copies and b.copies.most:
+        after = b.copies.after.shortest()
+        if attempt and after >= attempt:
+            faults.add(at("copies", place), "copy-after-attempt",
+                       f"{owner}: a copy is due after {span(after)}, when the attempt has ended at its "
+                       f"time-out of {span(attempt)}")
+        if wait and after >= wait:
+            faults.add(at("copies", place), "copy-after-attempt",
+                       f"{owner}: a copy is due after {span(after)}, past the whole wait of {span(wait)}")
+    if b.backoff:
+        longest = b.backoff.longest(b.attempts or 2)
+        if wait and longest >= wait:
+            faults.add(at("backoff", place), "backoff-over-wait",
+                       f"{owner}: its waits between {b.attempts or 2} attempts come to {span(longest)}, "
+                       f"the whole answer has {span(wait)}")
+
+
+def check(file: File, settings: api.Settings) -> list[Fault]:
+    """All that is wrong with a file in a deployment.  Empty for a file that may be used there."""
+    return finish(checking(file, settings))
+
+
+def checking(file: File, settings: api.Settings) -> Steps[list[Fault]]:
+    """``check`` in steps."""
+    faults = Faults()
+    try:
+        yield from deployed(file, settings, faults)
+    except TooMany:
+        pass
+    return faults.sorted()
+
+
+def deployed(file: File, settings: api.Settings, faults: Faults) -> Steps[None]:
+    """Names, then what each route takes, then its bounds."""
+    classes = {c.name: c for c in settings.classes}
+    for route in file.routes:
+        for what, named, known in (("class", route.match.classes, list(classes)),
+                                   ("zone", route.match.zones, list(settings.zones))):
+            for name in named:
+                if name not in known:
+                    faults.add(route.match_place, f"unknown-{what}", f"route {shown(route.name)}: there is "
+                               f"no {what} {shown(name)}{instead(name, known)}")
+    if faults.count:
+        return
+    cover = Cover(settings)
+    for route in file.routes:
+        yield
+        takes = cover.add(route)
+        if not takes:
+            earlier = cover.takers
+            names = ", ".join(shown(name) for name in earlier[:3])
+            names += " and others" if len(earlier) > 3 else ""
+            faults.add(route.match_place, "unreachable-route",
+                       f"route {shown(route.name)} can never match: {names or 'nothing'} takes all of it"
+                       + ("; move it up" if earlier else ""))
+            continue
+        for cls in settings.classes:
+            if cls.name in takes:
+                class_rules(route, cls, settings, faults)
+        deployment_rules(route, settings, faults)
+    if file.routes:
+        for name in cover.uncovered():
+            last = file.routes[-1]
+            faults.add(last.place, "no-route", f"class {shown(name)} has requests that no route takes; "
+                       "add a last route with an empty match, route \"rest\" { match }")
+
+
+def deployment_rules(route: Route, settings: api.Settings, faults: Faults) -> None:
+    """A route against the limits of the deployment."""
+    b, owner, limits = route.bounds, f"route {shown(route.name)}", settings.limits
+
+    def at(key: str) -> Place:
+        return b.places.get(key, route.place)
+    most = limits.max_attempts
+    if b.attempts is not None and b.attempts > most:
+        faults.add(at("attempts"), "attempts-over-deployment",
+                   f"{owner}: {b.attempts} attempts; the deployment allows {most} sends for a request")
+    if b.moves is not None and b.moves > most - 1:
+        faults.add(at("moves"), "moves-over-deployment",
+                   f"{owner}: {b.moves} moves behind the first send; the deployment allows {most} in all")
+    if b.copies and b.copies.most:
+        if not limits.second_copies:
+            faults.add(at("copies"), "copies-forbidden", f"{owner}: the deployment allows no second copies")
+        elif b.copies.most > most - 1:
+            faults.add(at("copies"), "attempts-over-deployment",
+                       f"{owner}: {b.copies.most} copies; the deployment allows {most} sends for a request")
+    if b.pause_ns:
+        if not limits.retry_after:
+            faults.add(at("pause_ns"), "pause-forbidden", f"{owner}: the deployment tells clients no pause")
+        elif b.pause_ns > limits.max_retry_after_ns > 0:
+            faults.add(at("pause_ns"), "pause-too-long", f"{owner}: a pause of {span(b.pause_ns)}, of which "
+                       f"the deployment allows {span(limits.max_retry_after_ns)}")
+
+
+def class_rules(route: Route, cls: api.RequestClass, settings: api.Settings, faults: Faults) -> None:
+    """A route against one class whose requests it takes."""
+    b, owner = route.bounds, f"route {shown(route.name)}"
+
+    def at(key: str) -> Place:
+        return b.places.get(key, route.place)
+    if cls.effect is not api.Effect.SAFE:
+        why = ("must never run twice" if cls.effect is api.Effect.UNSAFE else
+               "may be repeated only where its repeats are dropped")
+        if cls.effect is api.Effect.UNSAFE and b.attempts is not None and b.attempts > 1:
+            faults.add(at("attempts"), "second-attempt",
+                       f"{owner}: {b.attempts} attempts at class {shown(cls.name)}, which {why} "
+                       f"(its effect is {cls.effect.value!r}); write attempts most=1 in a route of its own")
+        if b.copies and b.copies.most:
+            faults.add(at("copies"), "second-copy",
+                       f"{owner}: a second copy of class {shown(cls.name)}, which {why} "
+                       f"(its effect is {cls.effect.value!r}); write copies most=0 in a route of its own")
+    limit = cls.deadline_ns
+    if not limit:
+        return
+    wait = b.timeout.of(limit) if b.timeout else limit
+    if b.timeout and b.timeout.ns > limit:
+        faults.add(at("timeout"), "wait-over-class", f"{owner}: a wait of {span(b.timeout.ns)}, but clients "
+                   f"of class {shown(cls.name)} give up after {span(limit)}")
+        return
+    if b.timeout and b.timeout.ns:
+        return                               # held against each other already, without the deployment
+    whole = f"the whole answer of class {shown(cls.name)} has {span(wait)}"
+    attempt = max(b.attempt.longest(), b.attempt.least_ns) if b.attempt else 0
+    if attempt > wait:
+        faults.add(at("attempt"), "attempt-over-route",
+                   f"{owner}: an attempt may take {span(attempt)}; {whole}")
+    if b.copies and b.copies.most and b.copies.after.shortest() >= wait:
+        faults.add(at("copies"), "copy-after-attempt",
+                   f"{owner}: a copy is due after {span(b.copies.after.shortest())}; {whole}")
+    longest = b.backoff.longest(b.attempts or 2) if b.backoff else 0
+    if b.backoff and longest >= wait:
+        faults.add(at("backoff"), "backoff-over-wait",
+                   f"{owner}: its waits between attempts come to {span(longest)}; {whole}")
+
+
+def span(ns: int) -> str:
+    """A time for people."""
+    return f"{ns / 10**9:g}s" if ns >= 10**9 else f"{ns / MS:g}ms"
--- /dev/null
+++ b/kelpcroft/operator/model.py
@@ -0,0 +1,140 @@
+"""The operator's file as typed, frozen values.  Times are integer nanoseconds; None = not said."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from kelpcroft.operator.faults import Place
+
+Range = tuple[int, int]      # both ends included
+GROUPS: Range = (0, 255)
+PARTS: Range = (0, 9_999)
+OUTCOMES = ("error", "reset", "timeout")  # may have run; what proves that nothing ran is a move
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """A duration, or a share of the client's patience."""
+
+    ns: int = 0
+    share: float = 0.0
+
+    def of(self, patience_ns: int) -> int:
+        """The wait for a client of this patience, never beyond it."""
+        return min(patience_ns, self.ns or int(self.share * patience_ns))
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """A duration, or a quantile (0 to 1) of the route's own recent answers between ``least`` and ``most``."""
+
+    ns: int = 0
+    quantile: float = 0.0
+    least_ns: int = 0
+    most_ns: int = 0
+
+    def longest(self) -> int:
+        """The longest that it can be; 0 = no end is stated."""
+        return self.ns or self.most_ns
+
+    def shortest(self) -> int:
+        """The shortest that it can be; 0 = no such is stated."""
+        return self.ns or self.least_ns
+
+
+@dataclass(frozen=True, slots=True)
+class Backoff:
+    """Waits between attempts: ``first``, doubled up to ``most``; with jitter each is drawn from 0 to that."""
+
+    first_ns: int
+    most_ns: int
+    jitter: bool = False
+
+    def longest(self, attempts: int) -> int:
+        """All waits together, at the longest, of a request with so many attempts."""
+        return sum(min(self.most_ns, self.first_ns << min(n, 40)) for n in range(attempts - 1))
+
+
+@dataclass(frozen=True, slots=True)
+class Copies:
+    """Second copies of a request that is still out."""
+
+    most: int
+    after: Moment
+    budget: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    """Which requests a route takes; an empty field takes all."""
+
+    classes: tuple[str, ...] = ()
+    groups: tuple[Range, ...] = ()
+    objects: tuple[str, ...] = ()          # hex digits that the object begins with
+    parts: tuple[Range, ...] = ()
+    zones: tuple[str, ...] = ()
+    retry: bool | None = None
+    write: bool | None = None
+
+    def rest(self) -> bool:
+        """Whether it takes whatever comes."""
+        return self == Match()
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a route, or the defaults, say; None is left to whoever is asked next."""
+
+    timeout: Wait | None = None
+    attempt: Moment | None = None
+    attempts: int | None = None
+    on: frozenset[str] | None = None
+    budget: str | None = None
+    moves: int | None = None
+    backoff: Backoff | None = None
+    copies: Copies | None = None
+    open: int | None = None
+    pause_ns: int | None = None
+    places: dict[str, Place] = field(default_factory=dict, compare=False)  # of each that is said
+
+    def over(self, below: Bounds) -> Bounds:
+        """These, with what they do not say taken from ``below``."""
+        if below == Bounds():
+            return self
+        merged = {key: getattr(self if getattr(self, key) is not None else below, key) for key in KEYS}
+        return Bounds(**merged, places={**below.places, **self.places})
+
+
+KEYS = ("timeout", "attempt", "attempts", "on", "budget", "moves", "backoff", "copies", "open", "pause_ns")
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Further attempts and copies that requests earn: ``ratio`` each, ``least`` a second at the least; up to
+    ``burst`` are kept."""
+
+    name: str
+    ratio: float
+    least_per_s: float
+    burst: float
+    place: Place = field(default=Place(), compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A route with the defaults laid under it."""
+
+    name: str
+    match: Match
+    bounds: Bounds
+    place: Place = field(default=Place(), compare=False)
+    match_place: Place = field(default=Place(), compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class File:
+    """A whole file.  Without routes it bounds nothing."""
+
+    routes: tuple[Route, ...] = ()
+    budgets: tuple[Budget, ...] = ()
+    defaults: Bounds = Bounds()
--- a/zincgrade/interface.py
+++ b/zincgrade/interface.py
@@ -174,6 +174,22 @@
     started_ns: int = 0           # clock time of its last start; 0 = long ago
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a route lets one request cost.  The defaults bound nothing."""
+
+    attempt_ns: int = 0           # one attempt's time at the most; 0 = not bounded
+    attempts: int = 0             # sends that may have run, copies apart; 0 = not bounded
+    again: frozenset[Outcome] | None = None  # of the ends that may have run: tried again; None = after any
+    moves: int = -1               # further sends after an end that proves that nothing ran; -1 = not bounded
+    copies: int = 0               # second copies while an attempt is out
+    waits: tuple[int, ...] = ()   # before each further attempt, in ns; the last counts on
+    pause_ns: int = 0             # told to a client whose request is given up
+    budgeted: bool = False        # further attempts are paid for by the route: see AttemptEnded.room
+    full: bool = False            # too many of its route are open: refuse it
+    cut: bool = False             # patience_ns ends before the client's patience does
+
+
 # Events ---------------------------------------------------------------------------------------------------
 
 
@@ -199,6 +215,7 @@
     write: bool = False
     retry: bool = False
     tenant: str = ""
+    bounds: Bounds | None = None  # None = the module's own way in all
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +241,22 @@
     note: Note = Note.NONE
     first_byte_ns: int = 0        # wait for the source's first byte or failure; 0 = not told
     report: dict[str, float] = field(default_factory=dict)
+    room: bool = True             # the route's budget pays for one more attempt
+
+
+@dataclass(frozen=True, slots=True)
+class CopyDue:
+    """An attempt has been out for so long that its route wants a second copy."""
+
+    id: str
+    room: bool                    # its budget pays for one
+
+
+@dataclass(frozen=True, slots=True)
+class WaitOver:
+    """What Wait asked for."""
+
+    id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,7 +301,8 @@
 
 
 Event = Union[
-    ServerList, Request, AnswerStarted, AttemptEnded, ClientGone, TimerDue, Probed, PeerMessage, Purged,
+    ServerList, Request, AnswerStarted, AttemptEnded, CopyDue, WaitOver, ClientGone, TimerDue, Probed,
+    PeerMessage, Purged,
 ]
 
 
@@ -314,6 +348,14 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """A request will be tried again at a clock time, of which WaitOver tells; its route has paid for it."""
+
+    id: str
+    until_ns: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Ask for TimerDue at a clock time."""
@@ -341,4 +383,4 @@
     text: str
 
 
-Action = Union[Fetch, Cancel, Refuse, Fail, SetTimer, Probe, Subscribe, Log]
+Action = Union[Fetch, Cancel, Refuse, Fail, Wait, SetTimer, Probe, Subscribe, Log]
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -243,6 +243,7 @@
         self.done = self.started = self.judged = False
         self.fills = self.look = False     # looks like a fill; only a hit is wanted
         self.resets = 0                    # attempts lost with their connection
+        self.further = self.moved = self.copied = 0  # sends after one that may have run, or had not; copies
         self.bad_caches: set[str] = set()
         self.bad_sources: set[str] = set()
         self.memo: Memo | None = None
@@ -302,6 +303,12 @@
             if held:
                 held.started = True
                 self.call_off(held, event.attempt)
+        elif isinstance(event, api.CopyDue):
+            self.on_copy_due(event)
+        elif isinstance(event, api.WaitOver):
+            held = self.held.get(event.id)
+            if held and not held.done:
+                self.advance(held)
         elif isinstance(event, api.ClientGone):
             held = self.held.get(event.id)
             if held:
@@ -339,6 +346,9 @@
         cls = self.classes[r.cls]
         key = mix(r.object * 65_537 + r.part)
         held = self.held[r.id] = Held(self.now, r, cls, key)
+        if r.bounds and r.bounds.full:
+            self.give_up(held)
+            return
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         if not cls.uncacheable:
             memo = held.memo = self.memory.setdefault(key, Memo(last_ns=self.now))
@@ -424,13 +434,19 @@
         """The final answer where nothing more can be tried: a refusal if that does no harm."""
         harmless = held.cls.effect is Effect.SAFE or (held.ran_at is None and not held.out)
         if harmless or (held.cls.effect is Effect.KEYED and held.cls.group == "all"):
-            self.actions.append(api.Refuse(held.request.id))
+            bounds, limits = held.request.bounds, self.s.limits
+            pause = min(bounds.pause_ns, limits.max_retry_after_ns) if bounds and limits.retry_after else 0
+            self.actions.append(api.Refuse(held.request.id, pause))
         else:
             self.actions.append(api.Fail(held.request.id))
         self.close(held)
 
     def after_failure(self, held: Held, attempt: Attempt, e: api.AttemptEnded) -> None:
         """Mark what this request should not try again, then try the next or answer."""
+        bounds, ran = held.request.bounds, not e.outcome.proves_not_run
+        if bounds and (bounds.cut and self.now >= held.deadline_ns or not self.allows(held, bounds, e)):
+            self.give_up(held)
+            return
         if self.now >= held.deadline_ns:
             self.actions.append(api.Fail(held.request.id))
             self.close(held)
@@ -438,7 +454,7 @@
         if e.outcome is Outcome.RESET and held.resets < RESETS_FREE:
             # The copy is there, or on its way: elsewhere it would be filled once more.  may_send still holds.
             held.resets += 1
-            self.advance(held)
+            self.again(held, ran)
             return
         filled = attempt.source is not attempt.node
         source_fault = e.outcome is Outcome.MISS or e.note in (
@@ -450,12 +466,46 @@
                 held.memo.holders.pop(attempt.source.line.name, None)
         if not (filled and source_fault):
             held.bad_caches.add(attempt.node.line.name)
-        missed = e.outcome is Outcome.MISS
-        if held.look if missed else self.retries < 1:
+        free = e.outcome is Outcome.MISS or bounds is not None and bounds.budgeted
+        if held.look if e.outcome is Outcome.MISS else not free and self.retries < 1:
             self.give_up(held)
         else:
-            self.retries -= not missed
+            self.retries -= not free
+            self.again(held, ran)
+
+    def allows(self, held: Held, bounds: api.Bounds, e: api.AttemptEnded) -> bool:
+        """Whether the route lets a request go on after this end."""
+        if e.outcome.proves_not_run:
+            return bounds.moves < 0 or held.moved < bounds.moves
+        return ((not bounds.attempts or held.further + 1 < bounds.attempts)
+                and (bounds.again is None or e.outcome in bounds.again) and (e.room or not bounds.budgeted))
+
+    def again(self, held: Held, ran: bool) -> None:
+        """The next attempt; after one that may have run, when the route's wait is over."""
+        held.further, held.moved = held.further + ran, held.moved + (not ran)
+        waits = held.request.bounds.waits if ran and held.request.bounds else ()
+        until = self.now + (waits[min(held.further, len(waits)) - 1] if waits else 0)
+        if until == self.now:
             self.advance(held)
+        elif until >= held.deadline_ns:
+            self.give_up(held)             # at once: the wait would outlast the client
+        else:
+            self.actions.append(api.Wait(held.request.id, until))
+
+    def on_copy_due(self, e: api.CopyDue) -> None:
+        """The route wants a second copy of what is out: at another server, or none."""
+        held = self.held.get(e.id)
+        bounds = held.request.bounds if held else None
+        if (held is None or bounds is None or held.done or held.started or not held.out or not e.room
+                or held.copied >= bounds.copies or held.tries >= self.s.limits.max_attempts):
+            return
+        busy = {a.node.line.name for a in held.out.values()} - held.bad_caches
+        held.bad_caches |= busy
+        picked = self.pick(held) if self.now < held.deadline_ns else None
+        held.bad_caches -= busy
+        if picked:
+            held.copied += 1
+            self.send(held, *picked, held.deadline_ns - self.now)
 
     # The ordinary path ------------------------------------------------------------------------------------
 
@@ -659,6 +709,8 @@
 
     def timeout(self, held: Held, trial: bool, left: int) -> int:
         """An attempt's time-out: late by its class's measure, but with time for another behind it."""
+        bounds = held.request.bounds
+        left = min(left, bounds.attempt_ns) if bounds and bounds.attempt_ns else left
         return min(left, self.usual(held, 2.0)) if trial else left
 
     def aim(self, held: Held) -> float:
--- a/zincgrade/simhost.py
+++ b/zincgrade/simhost.py
@@ -166,7 +166,9 @@
         return ["Probe", gateway, a.cache]
     if isinstance(a, i.Subscribe):
         return ["KeepInformed", gateway, True]
-    return ["WriteLog", gateway, a.text]
+    if isinstance(a, i.Log):
+        return ["WriteLog", gateway, a.text]
+    raise Malformed(f"{type(a).__name__} has no words on this wire, and without bounds is not asked for")
 
 
 class Malformed(Exception):
