--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -1,4 +1,4 @@
-"""One request router, as its environment describes it; ROUTER_RULES names the operator's file, if there is one.
+"""One request router, as its environment describes it; ROUTER_RULES names the operator's file if any.
 Exit codes: 0 asked to end, 2 bad configuration."""
 
 from __future__ import annotations
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -117,8 +117,8 @@
         changes nothing."""
         s = self.state
         if rules.file is None:
-            s.log("rules.refused", f"operator's file not taken: {rules.why}; {rules.faults} in all", "warning",
-                  {"first": rules.why, "faults": rules.faults})
+            s.log("rules.refused", f"operator's file not taken: {rules.why}; {rules.faults} in all",
+                  "warning", {"first": rules.why, "faults": rules.faults})
             return
         if s.routes is not None:
             s.routes.replace(rules.file, s.now)
--- a/kelpcroft/log.py
+++ b/kelpcroft/log.py
@@ -56,7 +56,7 @@
             return f"{when} {record.levelname} {event}: {record.getMessage()}{more}"
         head = {"time": when, "level": record.levelname.lower(), "router": self.router, "event": event,
                 "text": record.getMessage()}
-        return orjson.dumps({**fields, **head}, default=str, option=orjson.OPT_NON_STR_KEYS).decode()
+        return orjson.dumps({**head, **fields, **head}, default=str, option=orjson.OPT_NON_STR_KEYS).decode()
 
 
 class EventLog:
