--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -11,6 +11,7 @@
 from functools import partial
 
 from kelpcroft.config import ConfigError, load, reload
+from kelpcroft.log import EventLog
 from kelpcroft.net.loop import Clock, Loop
 
 
@@ -37,7 +38,8 @@
             print(error, file=sys.stderr)
             return 2
         rules = partial(steps, os.environ["ROUTER_RULES"], config.settings)
-    loop = Loop(config, Clock(), partial(reload, os.environ), rules)
+    events = EventLog(config.name, form=os.environ.get("ROUTER_LOG", ""))
+    loop = Loop(config, Clock(), partial(reload, os.environ), rules, events)
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
     try:
--- /dev/null
+++ b/kelpcroft/cli/common.py
@@ -0,0 +1,96 @@
+"""What the verbs share: options, files, and answers as text or JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+import orjson
+
+from kelpcroft.config import ConfigError, parse, table
+from kelpcroft.operator.check import check, load, read
+from kelpcroft.operator.faults import Fault
+from kelpcroft.operator.model import File
+from zincgrade import interface as api
+
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+class Unfit(click.ClickException):
+    """One line on standard error, exit code 2: the command cannot be carried out as it was given."""
+
+    exit_code = 2
+
+
+def format_option(command: F) -> F:
+    """``--format text|json``."""
+    return click.option(
+        "--format",
+        "form",
+        type=click.Choice(["text", "json"]),
+        default="text",
+        show_default=True,
+        help="How the answer is printed.",
+    )(command)
+
+
+def config_option(required: bool = False) -> Callable[[F], F]:
+    """``--config CONFIG``."""
+    return click.option(
+        "--config",
+        required=required,
+        metavar="CONFIG",
+        help="The router's JSON configuration: its classes, zones and limits.",
+    )
+
+
+def settings_of(path: str) -> api.Settings:
+    """The deployment's settings from a router's configuration.  Its addresses may be missing."""
+    try:
+        raw = table("the file", orjson.loads(Path(path).read_bytes()))
+        filled = {
+            "name": "n",
+            "listen": "127.0.0.1:1",
+            "feed": "127.0.0.1:1",
+            "known": {"n": 0, "events": []},
+        }
+        return parse({**filled, **raw}, {}).settings
+    except OSError as error:
+        raise Unfit(f"{path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise Unfit(f"{path}: {error}") from error
+    except ConfigError as error:
+        raise Unfit(f"{path}: {error}") from error
+
+
+def faults_of(path: str, settings: api.Settings | None) -> tuple[File, list[Fault]]:
+    """A file and all that is wrong with it, in a deployment if one is given."""
+    try:
+        file, faults = load(read(Path(path)))
+    except OSError as error:
+        raise Unfit(f"{path}: {error.strerror}") from error
+    if not faults and settings is not None:
+        faults = check(file, settings)
+    return file, faults
+
+
+def good(path: str, settings: api.Settings | None) -> File:
+    """A file that may be used; its faults and exit code 1 where it may not."""
+    file, faults = faults_of(path, settings)
+    if faults:
+        for fault in faults:
+            click.echo(fault.text(path), err=True)
+        no()
+    return file
+
+
+def as_json(value: Any) -> None:
+    """One JSON document on standard output."""
+    click.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+def no() -> NoReturn:
+    """The answer is no."""
+    raise SystemExit(1)
--- /dev/null
+++ b/kelpcroft/cli/serve.py
@@ -0,0 +1,46 @@
+"""``kelpcroft serve``: start the router with its configuration and, if wanted, an operator's file."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import click
+
+
+@click.command(epilog="Example:  kelpcroft serve --config examples/config.json --file deploy/tt-kits.kdl")
+@click.option("--config", metavar="CONFIG", help="The JSON configuration; else $ROUTER_CONFIG.")
+@click.option("--file", metavar="FILE", help="The operator's file; else $ROUTER_RULES, else none.")
+@click.option("--name", help="Its name; else $ROUTER_NAME, else the configuration's.")
+@click.option(
+    "--listen",
+    metavar="HOST:PORT",
+    help="Where clients connect; else $ROUTER_LISTEN, else the configuration's.",
+)
+@click.option("--release", is_flag=True, help="Count broken invariants instead of stopping at the first.")
+@click.option(
+    "--format",
+    "form",
+    type=click.Choice(["auto", "text", "json"]),
+    default="auto",
+    show_default=True,
+    help="How log lines are printed; auto is text on a terminal.",
+)
+def serve(
+    config: str | None, file: str | None, name: str | None, listen: str | None, release: bool, form: str
+) -> None:
+    """Serve until SIGTERM.  SIGHUP has the configuration and the operator's file read again."""
+    env = dict(os.environ)
+    for key, value in (
+        ("ROUTER_CONFIG", config),
+        ("ROUTER_RULES", file),
+        ("ROUTER_NAME", name),
+        ("ROUTER_LISTEN", listen),
+        ("ROUTER_LOG", None if form == "auto" else form),
+    ):
+        if value is not None:
+            env[key] = value
+    # Another image of the process: nothing of the command line stays in the memory of the router.
+    python = [sys.executable, *(["-O"] if release else []), "-m", "kelpcroft"]
+    sys.stdout.flush()
+    os.execve(sys.executable, python, env)
--- a/kelpcroft/log.py
+++ b/kelpcroft/log.py
@@ -60,14 +60,14 @@
 
 
 class EventLog:
-    """Writes events to a stream: standard error, plain where that is a terminal."""
+    """Writes events to a stream: standard error, as ``form`` says (text, json), else plain on a terminal."""
 
-    def __init__(self, router: str, stream: IO[str] | None = None, plain: bool | None = None) -> None:
+    def __init__(self, router: str, stream: IO[str] | None = None, form: str = "") -> None:
         stream = stream or sys.stderr
         self.limiter = Limiter()
         self.logger = logging.Logger("kelpcroft", logging.INFO)
         handler = logging.StreamHandler(stream)
-        formatter = Line(router, stream.isatty() if plain is None else plain)
+        formatter = Line(router, form == "text" if form else stream.isatty())
         formatter.converter = time.gmtime
         handler.setFormatter(formatter)
         self.logger.addHandler(handler)
