--- a/kelpcroft/cli/explain.py
+++ b/kelpcroft/cli/explain.py
@@ -29,7 +29,7 @@
 def explain(
     file: str, config: str, cls: str, item: str, part: int, group: int, retry: bool, write: bool, form: str
 ) -> None:
-    """Print the route that takes a request, each bound with the line it came from, and what can follow at most:
+    """Print the route that takes a request, each bound with the line it came from, and the most that follows:
     the longest wait and the number of sends."""
     settings = settings_of(config)
     known = {c.name: c for c in settings.classes}
--- a/kelpcroft/operator/text.py
+++ b/kelpcroft/operator/text.py
@@ -29,7 +29,7 @@
     r'|(?P<raw>(?P<hashes>#+)(?:"""(?s:.*?)"""|"(?s:.*?)")(?P=hashes))'
     r'|(?P<long>"""(?s:(?:\\.|[^\\])*?)""")|(?P<string>"(?:\\(?s:.)|[^"\\])*")'
     r"|(?P<word>(?:[^\s{}();=\"\\/\ufeff\x85\u2028\u2029])+)|(?P<end>\Z))")
-EQUALS = re.compile(rf"{BLANK}*=")
+EQUALS = re.compile(rf"{BLANK}*(?:(?P<sure>=)|/\*|\\)")
 BLOCK = re.compile(r"/\*|\*/")
 
 
@@ -136,9 +136,7 @@
             self.entries += 1
             if self.entries > ENTRIES_MOST:
                 raise TooMuch(at, "too-many-nodes", f"over {ENTRIES_MOST} arguments and properties")
-            equals = EQUALS.match(self.text, self.at)
-            if equals:
-                self.at = equals.end()
+            if self.equals():
                 key = self.plain(kind, word)
                 kind, value_at, word = self.take()
                 if kind == "mark" and word == "(":
@@ -151,6 +149,20 @@
                 spot.args.append(at)
             spot.end = self.at
 
+    def equals(self) -> bool:
+        """Whether an equals sign follows, after blanks, comments and continued lines; it is taken if so."""
+        after = self.at
+        match = EQUALS.match(self.text, after)
+        if match is None:
+            return False
+        if match["sure"]:
+            self.at = match.end()
+            return True
+        _, _, word = self.take()
+        if word != "=":
+            self.at = after
+        return word == "="
+
     def skip_children(self, at: int) -> None:
         """A block that was struck out with ``/-``."""
         depth = 1
--- a/kelpcroft/operator/values.py
+++ b/kelpcroft/operator/values.py
@@ -78,7 +78,7 @@
     found = float(match[1])
     if not 50 <= found <= 99.9:
         raise Unusable("bad-quantile", f"{shown(value)} is not from p50 to p99.9")
-    return found / 100
+    return round(found / 100, 6)
 
 
 def rate(value: object) -> float:
--- /dev/null
+++ b/kelplab/standin.py
@@ -0,0 +1,386 @@
+"""A small world on loopback: caches, a parent, the origin and the feed in one thread, and a client.
+
+Servers do what a script says: a function of the server's name and the request that it got, which returns a
+Reply.  Whatever arrives is written down with its time, so that a test can hold it against what was declared.
+Ports come from the kernel.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import os
+import secrets
+import selectors
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgpack
+
+ROOT = Path(__file__).parent.parent
+MS = 1_000_000
+WAIT_S = 20.0  # whoever waits so long has failed
+SERVERS = {
+    "cache1": ("s-c1", "edge-1", "box"),
+    "cache2": ("s-c2", "edge-1", "box"),
+    "parent": ("s-p", "hub", "parent"),
+    "origin": ("s-o", "hub", "origin"),
+}
+
+
+@dataclass(frozen=True)
+class Seen:
+    """One command that a server got."""
+
+    server: str
+    word: str  # PULL or KILL
+    id: str
+    fields: dict[str, str]
+    at_ns: int
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a server does with a request: answers after a time, says nothing, or breaks the connection."""
+
+    word: str = "DONE"  # DONE, LACK, WAIT, BROKE, PAST; "silent"; "reset"; "cut": half an answer
+    after_ms: float = 0.0
+    tell: str = "mem"
+    body: bytes = b""
+
+
+Script = Callable[[str, Seen], Reply]
+
+
+def well(server: str, seen: Seen) -> Reply:
+    """Everything is answered at once."""
+    return Reply(body=f"by {server}".encode())
+
+
+class World:
+    """The servers and the feed.  A context manager."""
+
+    def __init__(self, script: Script = well, servers: tuple[str, ...] = tuple(SERVERS)) -> None:
+        self.script = script
+        self.seen: list[Seen] = []
+        self.names = servers
+        self.selector = selectors.DefaultSelector()
+        self.listeners = {n: socket.create_server(("127.0.0.1", 0)) for n in (*servers, "feed")}
+        self.heap: list[tuple[int, int, socket.socket, bytes]] = []
+        self.buffers: dict[socket.socket, bytes] = {}
+        self.made = 0
+        self.stop = threading.Event()
+        self.lock = threading.Lock()
+        for name, listener in self.listeners.items():
+            listener.setblocking(False)
+            self.selector.register(listener, selectors.EVENT_READ, name)
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def __enter__(self) -> World:
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop.set()
+        self.thread.join(WAIT_S)
+        for sock in (*self.listeners.values(), *self.buffers):
+            sock.close()
+        self.selector.close()
+
+    def at(self, name: str) -> str:
+        """The address of a server or the feed."""
+        return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
+
+    def close(self, name: str) -> None:
+        """A server that refuses connections from now on.  Before the world has started."""
+        self.selector.unregister(self.listeners[name])
+        port = self.listeners[name].getsockname()[1]
+        self.listeners[name].close()
+        self.listeners[name] = held = socket.socket()
+        held.bind(("127.0.0.1", port))  # bound and not listening: nobody else gets the port
+
+    def pulls(self, id: str | None = None, server: str | None = None) -> list[Seen]:
+        """Requests that came, of one id or at one server if so wanted."""
+        with self.lock:
+            return [
+                s for s in self.seen if s.word == "PULL" and id in (None, s.id) and server in (None, s.server)
+            ]
+
+    def members(self) -> dict[str, Any]:
+        """The list of servers as an event."""
+        endpoints = [
+            {
+                "name": SERVERS[n][0],
+                "address": self.at(n),
+                "zone": SERVERS[n][1],
+                "type": SERVERS[n][2],
+                "status": "active",
+                "weight": 1,
+            }
+            for n in self.names
+        ]
+        return {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}
+
+    def run(self) -> None:
+        """The thread."""
+        while not self.stop.is_set():
+            wait = (
+                0.02 if not self.heap else max(0.0, min(0.02, (self.heap[0][0] - time.monotonic_ns()) / 1e9))
+            )
+            for key, _ in self.selector.select(wait):
+                sock = key.fileobj
+                assert isinstance(sock, socket.socket)
+                if key.data in self.listeners and sock is self.listeners[key.data]:
+                    self.accept(sock, key.data)
+                else:
+                    self.read(sock, key.data)
+            while self.heap and self.heap[0][0] <= time.monotonic_ns():
+                _, _, sock, data = heapq.heappop(self.heap)
+                self.send(sock, data)
+
+    def accept(self, listener: socket.socket, name: str) -> None:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.buffers[sock] = b""
+        self.selector.register(sock, selectors.EVENT_READ, name)
+
+    def drop(self, sock: socket.socket, reset: bool = False) -> None:
+        if sock in self.buffers:
+            del self.buffers[sock]
+            self.selector.unregister(sock)
+            if reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+
+    def send(self, sock: socket.socket, data: bytes) -> None:
+        if sock not in self.buffers:
+            return
+        if data == b"reset":
+            self.drop(sock, True)
+            return
+        try:
+            sock.sendall(data)
+        except OSError:
+            self.drop(sock)
+
+    def read(self, sock: socket.socket, name: str) -> None:
+        try:
+            data = sock.recv(1 << 16)
+        except OSError:
+            data = b""
+        if not data:
+            self.drop(sock)
+            return
+        self.buffers[sock] += data
+        while sock in self.buffers:
+            if name == "feed":
+                if b"\r\n\r\n" not in self.buffers[sock]:
+                    return
+                self.buffers[sock] = self.buffers[sock].split(b"\r\n\r\n", 1)[1]
+                body = b'{"n":1,"events":[]}'
+                self.later(
+                    900 * MS, sock, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                )
+                continue
+            words, rest = words_of(self.buffers[sock])
+            if words is None:
+                return
+            self.buffers[sock] = rest
+            self.command(sock, name, words)
+
+    def command(self, sock: socket.socket, name: str, words: list[bytes]) -> None:
+        fields = dict(pair.split("=", 1) for pair in words[2].decode().split(",")) if len(words) > 2 else {}
+        seen = Seen(name, words[0].decode(), words[1].decode(), fields, time.monotonic_ns())
+        with self.lock:
+            self.seen.append(seen)
+        if seen.word != "PULL":
+            return
+        reply = self.script(name, seen)
+        after = int(reply.after_ms * MS)
+        if reply.word == "reset":
+            self.later(after, sock, b"reset")
+        elif reply.word != "silent":
+            body = reply.body if reply.word in ("DONE", "BROKE") else b""
+            told = f"sum=4be0c1927d55a6f3,t0={time.time_ns() // MS},tell={reply.tell}".encode()
+            word = "DONE" if reply.word == "cut" else reply.word
+            parts = (words[1], word.encode(), told if word == "DONE" else b"-", body)
+            data = b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+            self.later(after, sock, data[: len(data) // 2] if reply.word == "cut" else data)
+
+    def later(self, after_ns: int, sock: socket.socket, data: bytes) -> None:
+        self.made += 1
+        heapq.heappush(self.heap, (time.monotonic_ns() + after_ns, self.made, sock, data))
+
+
+def words_of(data: bytes) -> tuple[list[bytes] | None, bytes]:
+    """One RESP array and what follows it; None while it is not whole."""
+    head, found, rest = data.partition(b"\r\n")
+    if not found:
+        return None, data
+    words = []
+    for _ in range(int(head[1:])):
+        size, found, rest = rest.partition(b"\r\n")
+        if not found or len(rest) < int(size[1:]) + 2:
+            return None, data
+        words.append(rest[: int(size[1:])])
+        rest = rest[int(size[1:]) + 2 :]
+    return words, rest
+
+
+@dataclass
+class Answer:
+    """A final answer as a client sees it."""
+
+    kind: str  # served, refused or failed
+    body: bytes
+    fields: dict[str, str]
+    took_ms: float
+
+
+@dataclass
+class Client:
+    """One connection to a router.  Not for several threads."""
+
+    sock: socket.socket
+    unpacker: Any = field(default_factory=lambda: msgpack.Unpacker(raw=False))
+    calls: int = 0
+    sent_ns: dict[int, int] = field(default_factory=dict)
+
+    def send(
+        self,
+        cls: str,
+        patience_ms: int = 2_400,
+        object: str = "7f3a9c21e0b4d655",
+        part: int = 0,
+        group: int = 17,
+        retry: bool = False,
+        body: bytes = b"",
+        trace: str = "",
+    ) -> str:
+        """A request; its trace id."""
+        self.calls += 1
+        trace = trace or secrets.token_hex(8)
+        fields = {
+            "trace": trace,
+            "patience": str(patience_ms),
+            "entity": object,
+            "block": str(part),
+            "family": str(group),
+            **({"redo": "1"} if retry else {}),
+        }
+        self.sent_ns[self.calls] = time.monotonic_ns()
+        self.sock.sendall(msgpack.packb([0, self.calls, cls, [fields, body]]))
+        return trace
+
+    def answers(self, count: int) -> Iterator[Answer]:
+        """So many answers as they come."""
+        while count:
+            for _, call, error, result in self.unpacker:
+                took = (time.monotonic_ns() - self.sent_ns.pop(call)) / MS
+                if error is None:
+                    yield Answer("served", bytes(result[0]), result[1], took)
+                else:
+                    yield Answer("refused" if error[0] == "Shed" else "failed", b"", error[1], took)
+                count -= 1
+                if not count:
+                    return
+            data = self.sock.recv(1 << 16)
+            if not data:
+                raise ConnectionError("the router has closed the connection")
+            self.unpacker.feed(data)
+
+    def ask(self, cls: str, **more: Any) -> Answer:
+        """One request and its answer."""
+        self.send(cls, **more)
+        return next(self.answers(1))
+
+
+class Router:
+    """A router process against a world.  A context manager."""
+
+    def __init__(
+        self,
+        world: World,
+        rules: str | None = None,
+        program: Path = ROOT,
+        release: bool = False,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.rules = Path(self.folder.name) / "rules.kdl"
+        self.log_path = Path(self.folder.name) / "log"
+        example = json.loads((ROOT / "examples/config.json").read_bytes())
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()[:2]
+        config = {
+            **example,
+            "listen": f"127.0.0.1:{self.address[1]}",
+            "feed": world.at("feed"),
+            "known": {"n": 1, "events": [world.members()]},
+        }
+        config["settings"] = {**config["settings"], **(settings or {})}
+        (Path(self.folder.name) / "config.json").write_text(json.dumps(config))
+        env = {**os.environ, "ROUTER_CONFIG": f"{self.folder.name}/config.json", "ROUTER_LOG": "json"}
+        env.pop("ROUTER_RULES", None)
+        if rules is not None:
+            self.rules.write_text(rules)
+            env["ROUTER_RULES"] = str(self.rules)
+        with self.log_path.open("w") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *(["-O"] if release else []), "-m", "kelpcroft"],
+                cwd=program,
+                env=env,
+                stderr=log,
+                stdout=log,
+            )
+
+    def __enter__(self) -> Router:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.folder.cleanup()
+
+    def log(self) -> list[dict[str, Any]]:
+        """The events that it has logged."""
+        return [json.loads(line) for line in self.log_path.read_text().splitlines() if line.startswith("{")]
+
+    def reload(self, rules: str) -> dict[str, Any]:
+        """Another operator's file, SIGHUP, and what the log says of it."""
+        before = len(self.told())
+        self.rules.write_text(rules)
+        self.process.send_signal(signal.SIGHUP)
+        until = time.monotonic() + WAIT_S
+        while time.monotonic() < until:
+            told = self.told()
+            if len(told) > before:
+                return told[-1]
+            time.sleep(0.01)
+        raise TimeoutError("the operator's file was not read")
+
+    def told(self) -> list[dict[str, Any]]:
+        return [line for line in self.log() if line["event"].startswith("rules.")]
+
+    def client(self) -> Client:
+        """A connection, once it takes some."""
+        until = time.monotonic() + WAIT_S
+        while self.process.poll() is None and time.monotonic() < until:
+            try:
+                return Client(socket.create_connection(self.address, WAIT_S))
+            except ConnectionRefusedError:
+                time.sleep(0.01)
+        raise RuntimeError(f"the router does not serve: {self.log_path.read_text()}")
--- /dev/null
+++ b/tests/test_operator_faulty.py
@@ -0,0 +1,100 @@
+"""Files that must be refused (tests/faulty): code, line and reason; and files that may be used.
+
+The first lines of a file say what is due: ``//! LINE CODE words of the reason``, and ``//@ LIMIT=false`` for
+a deployment that forbids something.  All its faults are named there and no others may come.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from player import EXAMPLE
+
+from kelpcroft.config import parse
+from kelpcroft.operator import Fault, File, check, load
+from kelpcroft.operator.text import BYTES_MOST, NODES_MOST
+from zincgrade import interface as api
+
+HERE = Path(__file__).parent
+HEAD = "kelpcroft version=1\n"
+
+
+def judged(data: bytes, settings: api.Settings) -> tuple[File, list[Fault]]:
+    file, faults = load(data)
+    return file, faults or check(file, settings)
+
+
+class Faulty(unittest.TestCase):
+    def test_each_is_refused_for_its_reason(self) -> None:
+        settings = parse(EXAMPLE, {}).settings
+        files = sorted((HERE / "faulty").glob("*.kdl"))
+        self.assertGreaterEqual(len(files), 60)
+        for path in files:
+            data = path.read_bytes()
+            head = [line.decode() for line in data.split(b"\n") if line.startswith((b"//!", b"//@"))]
+            due = sorted((int(a), b, c) for a, b, c in (x[4:].split(" ", 2) for x in head if x[2] == "!"))
+            limits = {x[4:].split("=")[0]: False for x in head if x[2] == "@"}
+            with self.subTest(file=path.name):
+                here = replace(settings, limits=replace(settings.limits, **limits))
+                _, faults = judged(data, here)
+                found = sorted((f.place.line, f.code, f.reason) for f in faults)
+                self.assertEqual([x[:2] for x in found], [x[:2] for x in due], found)
+                for (_, _, reason), (_, _, words) in zip(found, due, strict=True):
+                    self.assertIn(words, reason)
+                for fault in faults:
+                    self.assertGreater(fault.place.column, 0)
+                    self.assertEqual(fault.text("f").count("\n"), 0)
+
+    def test_valid_files_are_used(self) -> None:
+        settings = parse(EXAMPLE, {}).settings
+        for path in sorted((HERE / "valid").glob("*.kdl")):
+            with self.subTest(file=path.name):
+                self.assertEqual(judged(path.read_bytes(), settings)[1], [])
+
+    def test_large_and_deep_files_are_refused(self) -> None:
+        """They made the parser take hundreds of MB; the locator stops before it is asked."""
+        for data, code in (
+            (b"/" * (BYTES_MOST + 1), "too-large"),
+            ((HEAD + "route\n" * 100_000).encode(), "missing-value"),
+            ((HEAD + "defaults {" + "moves;" * 100_000 + "}").encode(), "too-many-nodes"),
+            ((HEAD + 'route "r" { match ' + 'part="1" ' * 100_000 + "}").encode(), "duplicate-key"),
+            ((HEAD + "a {" * 10_000 + "}" * 10_000).encode(), "too-deep"),
+            ((HEAD + "a " + "/*" * 200_000).encode(), "not-kdl"),
+            ((HEAD + 'a "' + "\\\\" * 200_000).encode(), "not-kdl"),
+            ((HEAD + "a " + "#" * 200_000).encode(), "not-kdl"),
+        ):
+            with self.subTest(code=code):
+                faults = load(data)[1]
+                self.assertIn(code, {f.code for f in faults})
+                self.assertLessEqual(len(faults), 1_000)
+
+    def test_no_file_takes_much_memory(self) -> None:
+        """The largest file that may be used, in a process that may take 64 MB beyond its start."""
+        routes = (NODES_MOST - 2) // 2
+        text = HEAD + "".join(f'route "r{n}" {{ match object="{n:04x}"; }}\n' for n in range(routes))
+        code = (
+            "import resource, sys\nfrom kelpcroft.operator import load\nload(b'')\n"
+            "before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss\n"
+            "file, faults = load(sys.stdin.buffer.read())\n"
+            "after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss\n"
+            "print(len(file.routes), len(faults), after - before)"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            input=text.encode(),
+            capture_output=True,
+            check=True,
+            cwd=HERE.parent,
+        )
+        count, faults, grown = map(int, done.stdout.split())
+        self.assertEqual((count, faults), (routes, 0), done.stderr)
+        unit = 1 if sys.platform == "darwin" else 1024
+        self.assertLess(grown * unit, 64 << 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
