--- a/kelpcroft/routes/table.py
+++ b/kelpcroft/routes/table.py
@@ -45,7 +45,8 @@
         found = self.sketch.quantile(now, m.quantile) if self.sketch else 0
         if not found:
             return m.most_ns
-        return min(max(found, m.least_ns), m.most_ns or found)
+        found = max(found, m.least_ns)
+        return min(found, m.most_ns) if m.most_ns else found
 
 
 class Grant:
--- /dev/null
+++ b/tests/test_routes_rules.py
@@ -0,0 +1,189 @@
+"""What a file declares holds on every schedule: reducer and module in virtual time, whatever servers do."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from virtual import MS, NOT_RUN, START, S, Story, Virtual
+
+from kelpcroft import messages as m
+
+ORDERS = (
+    'route "orders" {{ match class="order"; timeout "{wait}ms"; attempts most=1; moves most={moves}; }}\n'
+)
+
+
+def file(attempts: int, moves: int, copies: int, wait: int, first: int, limit: int, burst: int) -> str:
+    spare = "" if not copies else f'copies most={copies} after="40ms" budget="b"; '
+    back = f'backoff first="{first}ms" most="{2 * first}ms" jitter="full"; ' if first else ""
+    return (
+        f'kelpcroft version=1\nbudget "b" ratio=0.1 least="1/s" burst={burst}\n'
+        + ORDERS.format(wait=wait, moves=moves)
+        + f'route "rest" {{ match; timeout "{wait}ms"; attempt timeout="{wait // 2}ms"; '
+        f'attempts most={attempts} budget="b" on="error,timeout"; moves most={moves}; {spare}{back}'
+        f'limit open={limit}; pause "70ms"; }}\n'
+    )
+
+
+files = st.builds(
+    file,
+    st.integers(1, 4),
+    st.integers(0, 4),
+    st.integers(0, 2),
+    st.integers(400, 2_400),
+    st.sampled_from([0, 10, 25]),
+    st.integers(1, 30),
+    st.integers(1, 10),
+)
+fates = st.fixed_dictionaries(
+    {
+        "done": st.just(1.0),
+        "lack": st.floats(0, 1),
+        "wait": st.floats(0, 1),
+        "broke": st.floats(0, 2),
+        "past": st.floats(0, 0.5),
+        "reset": st.floats(0, 1),
+        "silent": st.floats(0, 1),
+        "refuse": st.floats(0, 0.5),
+    }
+)
+
+
+def declared(text: str, cls: str) -> dict[str, int]:
+    """The figures of the route that takes a class."""
+    line = next(x for x in text.splitlines() if f'"{"orders" if cls == "order" else "rest"}"' in x)
+    words = line.replace(";", " ").replace('"', " ").split()
+    found = {key: 0 for key in ("attempts", "moves", "copies")}
+    found.update(
+        {key: int(words[words.index(key) + 1].removeprefix("most=")) for key in found if key in words}
+    )
+    found["wait"] = int(words[words.index("timeout") + 1].removesuffix("ms")) * MS
+    return found
+
+
+class Rules(unittest.TestCase):
+    def hold(self, story: Story, text: str) -> None:
+        """One request against what its route declares."""
+        said = declared(text, story.call.cls)
+        self.assertEqual(len(story.finals), 1, "one final answer")
+        end, final = story.finals[0]
+        until = story.at + min(said["wait"], story.call.patience_ns)
+        self.assertLessEqual(end, until)
+        times = [sent.at for sent in story.sends]
+        self.assertTrue(all(at < until for at in times), "never a send after the wait")
+        self.assertTrue(all(at <= end for at in times), "never a send after the answer")
+        self.assertLessEqual(len(times), min(6, said["attempts"] + said["moves"] + said["copies"]))
+        ran = [sent for sent in story.sends if sent.fate not in NOT_RUN]
+        self.assertLessEqual(len(ran), said["attempts"] + said["copies"])
+        if story.call.cls == "order":
+            self.assertLessEqual(len(ran), 1, "an order runs once")
+            for before in ran:
+                self.assertFalse(any(at > before.at for at in times), "nothing is sent after it may have run")
+        if isinstance(final, m.Decline) and story.call.cls == "page":
+            self.assertEqual(final.pause_ns, 70 * MS)
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(files, fates, st.integers(0, 2**32), st.integers(2, 60), st.booleans())
+    def test_never_more_than_declared(
+        self, text: str, odds: dict[str, float], seed: int, gap: int, again: bool
+    ) -> None:
+        world = Virtual(text, seed, odds)
+        stories = [
+            world.ask(n * gap * MS, "order" if n % 5 == 0 else "page", 2_400, n % 7) for n in range(60)
+        ]
+        if again:  # the same file in the middle: what is open and earned lives on
+            world.run(30 * gap * MS)
+            world.rules(text)
+        world.run()
+        for story in stories:
+            self.hold(story, text)
+        routes = world.reducer.state.routes
+        assert routes is not None
+        spent = routes.budgets["b"].taken
+        burst = int(text.split("burst=")[1].split("\n")[0])
+        pages = sum(story.call.cls == "page" for story in stories)
+        self.assertLessEqual(
+            spent, burst + 0.1 * pages + (world.now - START) / S, "a budget is never overdrawn"
+        )
+        extra = sum(len([x for x in s.sends if x.fate not in NOT_RUN]) - 1 for s in stories if s.sends)
+        self.assertLessEqual(max(0, extra), spent)
+        self.assertEqual([lane.open for lane in routes.lanes], [0, 0], "what was open is given back")
+
+    def test_one_seed_replays_to_the_byte(self) -> None:
+        def play() -> list[object]:
+            world = Virtual(file(3, 3, 1, 1_000, 25, 20, 5), 11, {"done": 1, "broke": 1, "silent": 0.3})
+            stories = [world.ask(n * 20 * MS, "page", 2_000, n) for n in range(40)]
+            world.run()
+            return [(s.sends, s.finals) for s in stories]
+
+        self.assertEqual(play(), play())
+
+    def test_open_requests_keep_the_bounds_they_came_with(self) -> None:
+        world = Virtual(file(1, 0, 0, 2_000, 0, 30, 5), 1, {"silent": 1})
+        old = world.ask(0, "page", 2_400)
+        world.run(100 * MS)
+        world.rules(file(1, 0, 0, 600, 0, 30, 5))
+        new = world.ask(200 * MS, "page", 2_400)
+        world.run()
+        # An attempt's time-out is half of the wait in these files, and there is one attempt.
+        self.assertEqual([s.finals[0][0] - s.at for s in (old, new)], [1_000 * MS, 300 * MS])
+
+    def test_a_limit_refuses_at_once_and_forgets(self) -> None:
+        world = Virtual(file(1, 0, 0, 1_000, 0, 3, 5), 1, {"silent": 1})
+        stories = [world.ask(n * MS, "page", 2_400, n) for n in range(5)]
+        later = world.ask(1_500 * MS, "page", 2_400)
+        world.run()
+        for story in stories[3:]:
+            self.assertEqual(story.finals[0], (story.at, m.Decline(story.call.client, 1, 70 * MS)))
+            self.assertEqual(story.sends, [])
+        self.assertEqual([len(s.sends) for s in (*stories[:3], later)], [1, 1, 1, 1])
+
+    def test_a_wait_that_outlasts_the_client_is_given_up_at_once(self) -> None:
+        text = (
+            'kelpcroft version=1\nroute "orders" { match class="order"; }\nroute "rest" { match; '
+            'timeout "1s"; attempts most=2; backoff first="300ms"; pause "70ms"; }\n'
+        )
+        world = Virtual(text, 1, {"broke": 1}, slow_ns=MS)
+        short, long = world.ask(0, "page", 250), world.ask(0, "page", 2_400, 3)
+        world.run()
+        self.assertEqual(len(short.sends), 1)
+        self.assertLess(short.finals[0][0] - short.at, 100 * MS)
+        self.assertEqual(len(long.sends), 2)
+        gaps = [b.at - a.at for a, b in zip(long.sends, long.sends[1:], strict=False)]
+        self.assertTrue(all(gap >= 300 * MS for gap in gaps), gaps)
+
+    def test_a_copy_goes_elsewhere_after_its_time_and_the_first_answer_counts(self) -> None:
+        text = (
+            'kelpcroft version=1\nroute "orders" { match class="order"; }\n'
+            'route "rest" { match; copies most=1 after="150ms"; }\n'
+        )
+        world = Virtual(text, 5, {"silent": 1})
+        story = world.ask(0, "page", 2_000)
+        world.run()
+        first, second = story.sends
+        self.assertNotEqual(first.server, second.server)
+        self.assertGreaterEqual(second.at - story.at, 150 * MS)
+        self.assertLess(second.at - story.at, 160 * MS)
+        world = Virtual(text, 5, {"done": 1}, slow_ns=MS)
+        story = world.ask(0, "page", 2_000)
+        world.run()
+        self.assertEqual(len(story.sends), 1)
+
+    def test_no_budget_no_second_attempt(self) -> None:
+        text = (
+            'kelpcroft version=1\nbudget "b" ratio=0 burst=1\nroute "orders" { match class="order"; }\n'
+            'route "rest" { match; attempts most=5 budget="b"; pause "70ms"; }\n'
+        )
+        world = Virtual(text, 5, {"broke": 1}, slow_ns=MS)
+        one, two = world.ask(0, "page", 2_000), world.ask(500 * MS, "page", 2_000, 3)
+        world.run()
+        self.assertEqual([len(one.sends), len(two.sends)], [2, 1])
+        at, final = two.finals[0]
+        self.assertIsInstance(final, m.Decline)
+        self.assertLess(at - two.at, 20 * MS, "denied is given up at once")
+
+
+if __name__ == "__main__":
+    unittest.main()
