--- a/kelpcroft/routes/table.py
+++ b/kelpcroft/routes/table.py
@@ -36,7 +36,8 @@
             attempt_ns=b.attempt.ns if b.attempt else 0, attempts=b.attempts or 0, again=again,
             moves=-1 if b.moves is None else b.moves, copies=copies, pause_ns=b.pause_ns or 0,
             budgeted=self.budget is not None)
-        self.steady = not (b.backoff or b.timeout or b.attempt and b.attempt.quantile)
+        whole = b.timeout is None or b.timeout.share >= 1
+        self.steady = whole and not b.backoff and not (b.attempt and b.attempt.quantile)
 
     def moment(self, now: int, m: Moment) -> int:
         """A duration, or the quantile as it stands; 0 while too little is known and no most is given."""
--- a/kelplab/standin.py
+++ b/kelplab/standin.py
@@ -28,6 +28,7 @@
 import msgpack
 
 ROOT = Path(__file__).parent.parent
+PROGRAM = ROOT / os.environ.get("KELPCROFT_FROM", ".")  # .compiled/now: what `run` starts
 MS = 1_000_000
 WAIT_S = 20.0  # whoever waits so long has failed
 SERVERS = {
@@ -315,7 +316,7 @@
         self,
         world: World,
         rules: str | None = None,
-        program: Path = ROOT,
+        program: Path = PROGRAM,
         release: bool = False,
         settings: dict[str, Any] | None = None,
     ) -> None:
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -24,6 +24,8 @@
     "kelpcroft/core/reducer.py", "kelpcroft/net/front.py", "kelpcroft/net/shelf.py",
     "kelpcroft/net/buffers.py", "kelpcroft/net/loop.py",
 )
+# Compiled apart: what is compiled together is loaded together, and these are wanted only with a file.
+ROUTES = tuple(f"kelpcroft/routes/{name}.py" for name in ("budget", "sketch", "index", "table"))
 
 
 def sources() -> list[Path]:
@@ -46,13 +48,15 @@
         shutil.copytree(ROOT / package, folder / package,
                         ignore=shutil.ignore_patterns("__pycache__", "*.so"))
     shutil.copy(ROOT / "pyproject.toml", folder)
-    done = subprocess.run([sys.executable, "-m", "mypyc", *HOT], cwd=folder, capture_output=True, text=True,
-                          env={**os.environ, "MYPYC_OPT_LEVEL": "2"})
-    if done.returncode:
-        print(f"not compiled, the plain modules are used: {(done.stderr or done.stdout)[-600:]}",
-              file=sys.stderr)
-        for built in folder.rglob("*.so"):
-            built.unlink()
+    for group in (HOT, ROUTES):
+        done = subprocess.run([sys.executable, "-m", "mypyc", *group], cwd=folder, capture_output=True,
+                              text=True, env={**os.environ, "MYPYC_OPT_LEVEL": "2"})
+        if done.returncode:
+            print(f"not compiled, the plain modules are used: {(done.stderr or done.stdout)[-600:]}",
+                  file=sys.stderr)
+            for built in folder.rglob("*.so"):
+                built.unlink()
+            break
     for left in (folder / "build", folder / ".mypy_cache"):
         shutil.rmtree(left, ignore_errors=True)
 
