Open a gate again that admits nothing: it stayed shut for good after a spell of errors

Seen: in virtual time, with half of all answers failing for 20 s at 0.8 of capacity, a router refused every request from 6.8 s on and never served again: 25,610 of 29,493 declined. Servers were alive by its own reckoning; gates[False] stood at its least cutoff, 0.4. Prices there lie within 0.6 to 1.8 of the mean, so none was admitted, and only an answer in time opens a gate (Gate.told). Budgets, deaths and fills were ruled out by the same run. Change: a second without news of what was admitted since the cut opens it a little (Gate.arrives).

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -60,6 +60,25 @@
     assert gate.cutoff == GATE_OPEN
 
 
+def test_gate_that_admits_nothing_opens_again() -> None:
+    """After a spell of errors requests of one price were refused for good: at the least cutoff none was let in
+    whose answer could have opened it."""
+    gate = Gate()
+    gate.cutoff = GATE_LEAST
+    gate.cut_ns = S
+    admitted = []
+    for n in range(100):
+        now = 2 * S + n * 100 * MS
+        gate.arrives(20.0, 20.0, now)
+        admitted.append(gate.admits(20.0))
+    assert not any(admitted[:10])
+    assert any(admitted[10:60])
+    gate.told(True, 99 * S, 99 * S)          # what hears of answers keeps to them
+    cutoff = gate.cutoff
+    gate.arrives(20.0, 20.0, 99 * S + 500 * MS)
+    assert gate.cutoff == cutoff
+
+
 def test_shed_fill_is_looked_for_before_refusal() -> None:
     """Shedding presumed fills also refused objects that the cache held."""
     p = policy()
--- a/tests/test_routes_rules.py
+++ b/tests/test_routes_rules.py
@@ -6,9 +6,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from virtual import MS, NOT_RUN, START, S, Story, Virtual
 
 from kelpcroft import messages as m
+from kelplab.virtual import MS, NOT_RUN, START, S, Story, Virtual
 
 ORDERS = (
     'route "orders" {{ match class="order"; timeout "{wait}ms"; attempts most=1; moves most={moves}; }}\n'
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -85,7 +85,7 @@
 
     def __init__(self) -> None:
         self.cutoff, self.scale = GATE_OPEN, Spread(0.0, SLOW_GAIN)
-        self.grown_ns = 0                  # last answer in time
+        self.grown_ns = self.heard_ns = 0  # last answer in time; last one that told of the cutoff as it is
         self.late, self.cut_ns = 0.0, 0    # recent share of late answers; last time the cutoff was lowered
         self.recent: deque[tuple[float, float]] = deque(maxlen=RECENT)
         self.work, self.seen_ns, self.ceiling = 0.0, 0, math.inf  # offered of late, until when; what fits
@@ -94,6 +94,7 @@
         """One answer's timeliness.  Requests taken before the last cut say nothing of its effect."""
         if start_ns < self.cut_ns:
             return
+        self.heard_ns = now
         self.late += LATE_GAIN * (late - self.late)
         if self.late > LATE_SHARE:
             self.cutoff, self.late, self.cut_ns = max(GATE_LEAST, self.cutoff * GATE_CUT), 0.0, now
@@ -106,6 +107,9 @@
 
     def arrives(self, price: float, work: float, now: int) -> None:
         """A request of this sending time per worth, and its sending time."""
+        if self.cutoff < GATE_OPEN and now - max(self.heard_ns, self.cut_ns) > SECOND_NS:
+            # Requests of one price are all shut out at the least cutoff, so that no answer would ever open it.
+            self.cutoff, self.heard_ns = min(GATE_OPEN, self.cutoff * GATE_SECOND), now
         self.work = self.work * math.exp((self.seen_ns - now) / LOAD_NS) + work
         self.seen_ns = now
         self.scale.add(price)
