Add ./demo, ./check, tests of the command and the log, and measurements of routes

Need: a newcomer should see routes at work in one command, and every figure should be repeatable by one. Change: kelplab.demo and the two scripts; benchmarks of a request's cost, a retry storm, late answers and the start; the index keeps a table for each class, retry and write, so that a look-up hashes one key.

--- /dev/null
+++ b/benchmarks/late_answers.py
@@ -0,0 +1,65 @@
+"""2% of answers are late by 1 s.  What do second copies do to the slowest requests, and what do they cost?
+
+    python -m benchmarks.late_answers [SEEDS]
+
+In virtual time, at a load that the servers carry easily.
+"""
+
+from __future__ import annotations
+
+import sys
+from statistics import mean
+
+from kelpcroft import messages as m
+from kelplab.virtual import FATES, MS, S, Sent, Virtual
+from zincgrade.interface import Note
+
+LATE, LATE_NS = 0.02, S
+GAP_NS, REQUESTS = 5 * MS, 6_000
+HEAD = 'kelpcroft version=1\nroute "orders" { match class="order"; attempts most=1; }\n'
+VARIANTS = {
+    "copies off": 'route "rest" { match class="page"; copies most=0; }',
+    "fixed, 150 ms": 'route "rest" { match class="page"; copies most=1 after="150ms"; }',
+    "p95, least 20 ms": 'route "rest" { match class="page"; copies most=1 after="p95" least="20ms"; }',
+    "p95, budget 0.03": 'budget "b" ratio=0.03 least="1/s" burst=10\n'
+    'route "rest" { match class="page"; copies most=1 after="p95" least="20ms" budget="b"; }',
+}
+
+
+class Late(Virtual):
+    """Answers take 20 to 60 ms, some a second more."""
+
+    def pull(self, e: m.Pull) -> None:
+        self.stories[e.id].sends.append(Sent(self.now, self.links[e.link], "done"))
+        took = self.random.randint(20, 60) * MS + (LATE_NS if self.random.random() < LATE else 0)
+        self.at(self.now + took, m.Answer(e.link, e.id, FATES["done"], Note.HIT, 0, {}, False, b"x"))
+
+
+def play(text: str, seed: int) -> tuple[float, float, float]:
+    """p50 and p99 in ms, and sends for each request."""
+    world = Late(HEAD + text, seed, {"done": 1})
+    stories = [world.ask(n * GAP_NS, "page", 2_500, world.random.randint(0, 400)) for n in range(REQUESTS)]
+    world.run()
+    times = sorted((s.finals[0][0] - s.at) / MS for s in stories if isinstance(s.finals[0][1], m.Serve))
+    assert len(times) > 0.995 * REQUESTS, f"{REQUESTS - len(times)} were not served"
+    sends = sum(len(s.sends) for s in stories) / REQUESTS
+    return times[len(times) // 2], times[len(times) * 99 // 100], sends
+
+
+def main() -> None:
+    """The table."""
+    seeds = range(1, 1 + int(sys.argv[1] if len(sys.argv) > 1 else 3))
+    base = 0.0
+    print(
+        f"{REQUESTS} requests, seeds {seeds.start} to {seeds.stop - 1}\n{'':18}{'p50 ms':>8}{'p99 ms':>9}"
+        f"{'of off':>8}{'extra sends':>13}"
+    )
+    for name, text in VARIANTS.items():
+        runs = [play(text, seed) for seed in seeds]
+        p50, p99, sends = (mean(run[k] for run in runs) for k in range(3))
+        base = base or p99
+        print(f"{name:18}{p50:8.1f}{p99:9.1f}{p99 / base:8.2f}{100 * (sends - 1):12.1f}%")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/request_cost.py
@@ -0,0 +1,111 @@
+"""What routes cost a request: the work between the sockets with no file, 10 routes and 10,000 routes.
+
+    python tools/compile.py && python -m benchmarks.request_cost
+
+Runs the compiled copy where there is one.  Variants take turns in short rounds; a round's ratio is to the one
+without a file in the same round, and the median of the ratios is printed.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from pathlib import Path
+from statistics import median
+
+ROOT = Path(__file__).parent.parent
+COPY = ROOT / ".compiled/now"
+if COPY.is_dir():
+    sys.path.insert(0, str(COPY))
+
+import msgpack  # noqa: E402
+
+from kelpcroft import messages as m  # noqa: E402
+from kelpcroft.config import parse  # noqa: E402
+from kelpcroft.core import reducer  # noqa: E402
+from kelpcroft.net.front import FrontCodec, served  # noqa: E402
+from kelpcroft.net.shelf import ShelfCodec, pull  # noqa: E402
+from kelpcroft.operator import load  # noqa: E402
+
+MS = 1_000_000
+ROUNDS, BATCH = 60, 400
+READ = 65_536
+
+
+def rules(count: int) -> str:
+    """A file of so many routes, of which the requests below take the last ones."""
+    rows = "".join(f'route "r{n}" {{ match object="{n:04x}"; }}\n' for n in range(count - 2))
+    return (
+        "kelpcroft version=1\ndefaults { attempts most=3; }\n"
+        'route "orders" { match class="order"; attempts most=1; }\n' + rows
+        + 'route "rest" { match class="page"; }\n'
+    )
+
+
+class One:
+    """A router without sockets."""
+
+    def __init__(self, text: str | None) -> None:
+        self.now = 1_764_576_000 * 10**9
+        self.router = reducer.Reducer(parse(json.loads((ROOT / "examples/config.json").read_bytes()), {}))
+        self.router.start(self.now)
+        self.router.handle(self.now, m.Listening())
+        if text is not None:
+            file, faults = load(text.encode())
+            assert not faults, faults[0]
+            self.router.handle(self.now, m.Rules(file))
+        self.calls = 0
+        self.client = FrontCodec(1, READ)
+        self.links: dict[int, ShelfCodec] = {}
+
+    def request(self) -> int:
+        """One page, from its bytes to the bytes of its answer; their number."""
+        self.calls += 1
+        self.now += 3 * MS
+        n = self.calls
+        fields = {"trace": f"{n:016x}", "patience": "1500", "entity": f"{0xFFFF - n % 97:016x}"}
+        data = msgpack.packb([0, n, "page", [{**fields, "block": str(n % 7), "family": "17"}, b""]])
+        return sum(
+            self.effects(self.router.handle(self.now, call)) for call in self.client.feed(memoryview(data))
+        )
+
+    def effects(self, effects: list[m.Effect]) -> int:
+        size = 0
+        for e in effects:
+            if isinstance(e, m.Pull):
+                size += len(pull(e)[0])
+                words = (e.id.encode(), b"DONE", b"sum=4be0c1927d55a6f3,t0=1,tell=mem", b"x" * 500)
+                data = b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+                for answer in self.links.setdefault(e.link, ShelfCodec(e.link)).feed(memoryview(data)):
+                    size += self.effects(self.router.handle(self.now + MS, answer))
+            elif isinstance(e, m.Dial):
+                size += self.effects(self.router.handle(self.now, m.LinkUp(e.link)))
+            elif isinstance(e, m.Serve):
+                size += sum(map(len, served(e.call, e.body, e.same)))
+        return size
+
+
+def main() -> None:
+    """The table."""
+    variants = {"no file": One(None), "10 routes": One(rules(10)), "10,000 routes": One(rules(10_000))}
+    costs: dict[str, list[float]] = {name: [] for name in variants}
+    for one in variants.values():
+        assert sum(one.request() > 500 for _ in range(BATCH)) == BATCH, "every request is served"
+    for turn in range(ROUNDS):
+        names = list(variants)
+        for name in names[turn % 3 :] + names[: turn % 3]:
+            began = time.process_time_ns()
+            for _ in range(BATCH):
+                variants[name].request()
+            costs[name].append((time.process_time_ns() - began) / BATCH)
+    print(f"{'compiled' if COPY.is_dir() else 'plain'}, {ROUNDS} rounds of {BATCH} requests")
+    for name, found in costs.items():
+        ratio = median(a / b for a, b in zip(found, costs["no file"], strict=True))
+        print(f"{name:14} {median(found) / 1000:7.1f} us of CPU a request   {ratio:6.3f} of no file")
+    last = median(a / b for a, b in zip(costs["10,000 routes"], costs["10 routes"], strict=True))
+    print(f"10,000 routes cost {last:.3f} of 10 routes")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/retry_storm.py
@@ -0,0 +1,134 @@
+"""A retry storm: servers fail half of all answers for 20 s at 0.8 of their capacity.  What do budgets do?
+
+    python -m benchmarks.retry_storm [SEEDS]
+
+In virtual time, with caches that serve so many requests at once and queue the rest.  Clients ask once more
+when they are refused.  Per variant: sends for each request and the share answered in time, during the trouble
+and in the 20 s after it; the mean over the seeds, and the ratio to no budget.  The module's own
+gates shed load as soon as answers come late and hide what a budget does: in the second table the classes have
+an aim so far off that they hardly act.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import deque
+from statistics import mean
+
+from kelpcroft import messages as m
+from kelplab.virtual import EXAMPLE, FATES, MS, START, S, Sent, Story, Virtual
+from zincgrade.interface import Note
+
+SLOTS, SERVICE_MS = 8, (10, 30)  # of a cache; 20 ms on average
+RATE = 0.8 * 2 * SLOTS / 0.020  # requests a second at two caches
+TROUBLE = (5 * S, 25 * S)
+END = 46 * S
+PARTS = {"before": (0, TROUBLE[0]), "during": TROUBLE, "20 s after": (TROUBLE[1], TROUBLE[1] + 20 * S)}
+ORDERS = 'kelpcroft version=1\nroute "orders" { match class="order"; attempts most=1; }\n'
+VARIANTS = {
+    "no budget": 'budget "b" ratio=10 burst=1000000\nroute "rest" { match class="page"; '
+    'attempts most=4 budget="b"; }',
+    "no file": "",
+    "budget 0.2": 'budget "b" ratio=0.2 least="5/s" burst=20\nroute "rest" { match class="page"; '
+    'attempts most=4 budget="b"; }',
+    "budget 0.1, backoff": 'budget "b" ratio=0.1 least="5/s" burst=20\nroute "rest" { match class="page"; '
+    'attempts most=4 budget="b"; backoff first="20ms" most="200ms" jitter="full"; }',
+}
+
+
+class Storm(Virtual):
+    """Servers with slots and queues, which fail half of their answers for a while."""
+
+    def __init__(self, rules: str | None, seed: int, aim_ns: int) -> None:
+        classes = [{**c, "aim_ns": aim_ns} for c in EXAMPLE["settings"]["classes"]]
+        super().__init__(rules, seed, {"done": 1}, settings={"classes": classes})
+        self.busy: dict[str, int] = {}
+        self.queue: dict[str, deque[m.Pull]] = {}
+        self.killed: set[tuple[int, str]] = set()
+        self.again: set[str] = set()
+
+    def pull(self, e: m.Pull) -> None:
+        server = self.links[e.link]
+        self.stories[e.id].sends.append(Sent(self.now, server, ""))
+        self.killed.discard((e.link, e.id))
+        if self.busy.get(server, 0) < SLOTS:
+            self.serve(server, e)
+        else:
+            self.queue.setdefault(server, deque()).append(e)
+
+    def serve(self, server: str, e: m.Pull) -> None:
+        self.busy[server] = self.busy.get(server, 0) + 1
+        failing = TROUBLE[0] <= self.now - START < TROUBLE[1]
+        fate = "broke" if failing and self.random.random() < 0.5 else "done"
+        done = self.now + self.random.randint(*SERVICE_MS) * MS
+        note = Note.HIT if fate == "done" else Note.NONE
+        self.at(done, m.Answer(e.link, e.id, FATES[fate], note, 0, {"server": 0.0}, False, b"x"))
+        self.at(done, server)
+
+    def freed(self, server: str) -> None:
+        self.busy[server] -= 1
+        waiting = self.queue.get(server, deque())
+        while waiting:
+            e = waiting.popleft()
+            if (e.link, e.id) not in self.killed and e.link in self.links:
+                self.serve(server, e)
+                return
+
+    def carry_out(self, effects: list[m.Effect]) -> None:
+        super().carry_out(effects)
+        for e in effects:
+            if isinstance(e, m.Kill):
+                self.killed.add((e.link, e.id))
+            elif isinstance(e, (m.Decline, m.Break)):
+                story = self.by_call[e.client, e.call]
+                left = story.at + 2_500 * MS - self.now
+                if story.call.trace not in self.again and left > 100 * MS:
+                    more = self.ask(self.now - START, "page", left // MS, story.call.object_number)
+                    self.again.add(more.call.trace)
+                    story.more = more
+
+
+def play(rules: str | None, seed: int, aim_ns: int) -> dict[str, tuple[float, float]]:
+    """Sends for each request and the share in time, by part of the run."""
+    world = Storm(rules, seed, aim_ns)
+    arrivals, at = [], 0.0
+    while at < END:
+        at += world.random.expovariate(RATE) * S
+        arrivals.append(world.ask(int(at), "page", 2_500, world.random.randint(0, 400)))
+    world.run()
+    found = {}
+    for name, (low, high) in PARTS.items():
+        here = [s for s in arrivals if low <= s.at - START < high]
+        sends = sum(len(s.sends) + (len(s.more.sends) if s.more else 0) for s in here)
+        found[name] = sends / len(here), sum(in_time(s, aim_ns) for s in here) / len(here)
+    return found
+
+
+def in_time(story: Story, aim_ns: int) -> bool:
+    """Whether the client had its answer within the aim, by its own retry if need be."""
+    for one in (story, story.more):
+        if one and one.finals and isinstance(one.finals[0][1], m.Serve):
+            return one.finals[0][0] - story.at <= aim_ns
+    return False
+
+
+def main() -> None:
+    """The table."""
+    seeds = range(1, 1 + int(sys.argv[1] if len(sys.argv) > 1 else 3))
+    print(f"{RATE:.0f} requests a second, seeds {seeds.start} to {seeds.stop - 1}")
+    print("sends for each request, share in time (its ratio to no budget)")
+    for aim_ms in (250, 1_000):
+        print(f"\n{f'aim {aim_ms} ms':22}" + "".join(f"{part:>24}" for part in PARTS))
+        base: dict[str, float] = {}
+        for name, text in VARIANTS.items():
+            runs = [play(ORDERS + text if text else None, seed, aim_ms * MS) for seed in seeds]
+            cells = []
+            for part in PARTS:
+                sends, good = (mean(run[part][k] for run in runs) for k in (0, 1))
+                base.setdefault(part, good)
+                cells.append(f"{sends:6.2f} {good:7.3f} ({good / max(base[part], 1e-9):5.2f})")
+            print(f"{name:22}" + "".join(f"{cell:>24}" for cell in cells))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,70 @@
+"""Resident memory and start time of what `run` starts, against an earlier commit.
+
+    python -m benchmarks.start [COMMIT]
+
+Builds both in scratch folders as deploy/balancer.toml does (about two minutes), starts them in turns, without
+and with the operator's file, and prints medians and the ratio to the earlier commit.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import median
+
+from kelplab.standin import ROOT, Router, World
+
+BEFORE = "fa17234"  # the last commit before routes
+TURNS = 9
+
+
+def built(commit: str, folder: Path) -> Path:
+    """A commit's compiled copy."""
+    archive = subprocess.run(["git", "archive", commit], cwd=ROOT, check=True, capture_output=True).stdout
+    folder.mkdir()
+    subprocess.run(["tar", "x"], cwd=folder, input=archive, check=True)
+    subprocess.run([sys.executable, "tools/compile.py"], cwd=folder, check=True)
+    return folder / ".compiled/now"
+
+
+def started(program: Path, rules: str | None) -> tuple[float, float]:
+    """Milliseconds until it takes connections, and MB once it has served 200 requests."""
+    with World() as world:
+        began = time.monotonic()
+        with Router(world, rules, program, release=True) as router:
+            client = router.client()
+            took = (time.monotonic() - began) * 1000
+            for part in range(200):
+                client.ask("page", part=part)
+            pages = int(Path(f"/proc/{router.process.pid}/statm").read_text().split()[1])
+            return took, pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+def main() -> None:
+    """The table."""
+    commit = sys.argv[1] if len(sys.argv) > 1 else BEFORE
+    rules = (ROOT / "examples/operator.kdl").read_text()
+    with tempfile.TemporaryDirectory() as scratch:
+        old, new = built(commit, Path(scratch) / "old"), built("HEAD", Path(scratch) / "new")
+        variants = {
+            f"commit {commit}": (old, None),
+            "HEAD, no file": (new, None),
+            "HEAD, with a file": (new, rules),
+        }
+        found: dict[str, list[tuple[float, float]]] = {name: [] for name in variants}
+        for _ in range(TURNS):
+            for name, (program, text) in variants.items():
+                found[name].append(started(program, text))
+    base = [median(x[k] for x in found[f"commit {commit}"]) for k in (0, 1)]
+    print(f"{'':20}{'start ms':>10}{'ratio':>7}{'MB':>8}{'more':>7}")
+    for name, runs in found.items():
+        took, size = (median(x[k] for x in runs) for k in (0, 1))
+        print(f"{name:20}{took:10.0f}{took / base[0]:7.2f}{size:8.1f}{size - base[1]:+7.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -172,8 +172,9 @@
         request.ran = not outcome.proves_not_run
         grant, now, room = request.grant, self.state.now, True
         if grant is not None:
-            room = grant.room(now)
-            if outcome in LASTED and attempt.sent:
+            if outcome is not Outcome.OK:
+                room = grant.room(now)
+            if grant.learns and attempt.sent and outcome in LASTED:
                 grant.saw(now, now - attempt.began_ns)
         self.state.events.append(api.AttemptEnded(
             request.id, attempt.index, attempt.fetch.cache, outcome, self.state.now - attempt.began_ns,
--- a/kelpcroft/routes/index.py
+++ b/kelpcroft/routes/index.py
@@ -15,6 +15,7 @@
 from kelpcroft.operator.model import GROUPS, PARTS, Range, Route
 
 NOBODY = 0xFFFFFFFF
+Placed = list[tuple[int, Route]]  # with their places in the file
 CELLS_MOST = 40_000          # of a plane, runs of groups times routes; see too_complex
 
 
@@ -41,6 +42,8 @@
                 starts, orders = self.starts[at], self.orders[at]
             self.starts.append(starts)
             self.orders.append(orders)
+        self.uniform = len(self.groups) == 1 and len(self.orders[0]) == 1
+        self.only = self.orders[0][0]
 
     def first(self, group: int, part: int) -> int:
         """The place of the earliest route, or NOBODY."""
@@ -80,40 +83,58 @@
     return starts, orders
 
 
+class Kind:
+    """Routes for one class, retry and write: by length of prefix, then by prefix.  Planes are laid out when
+    they are first wanted; their number is bounded by the file."""
+
+    def __init__(self, by_prefix: dict[str, Placed], cls: str, retry: bool, write: bool) -> None:
+        levels: dict[int, dict[str, Placed]] = {}
+        for prefix, routes in by_prefix.items():
+            here = [(order, route) for order, route in routes
+                    if (not route.match.classes or cls in route.match.classes)
+                    and route.match.retry in (None, retry) and route.match.write in (None, write)]
+            if here:
+                levels.setdefault(len(prefix), {})[prefix] = here
+        self.waiting = levels
+        self.planes: dict[int, dict[str, Plane | None]] = {
+            length: dict.fromkeys(found) for length, found in sorted(levels.items())}
+
+    def first(self, object: str, group: int, part: int) -> int:
+        """The place of the earliest route, or NOBODY."""
+        best = NOBODY
+        for length, planes in self.planes.items():
+            prefix = object[:length]
+            if prefix in planes:
+                plane = planes[prefix]
+                if plane is None:
+                    plane = planes[prefix] = Plane(self.waiting[length].pop(prefix))
+                found = plane.only if plane.uniform else plane.first(group, part)
+                if found < best:
+                    best = found
+        return best
+
+
 class Index:
     """All routes of a file, for requests of one zone."""
 
     def __init__(self, routes: Sequence[Route], zone: str) -> None:
-        self.by_prefix: dict[str, list[tuple[int, Route]]] = {}
+        self.by_prefix: dict[str, Placed] = {}
         for order, route in enumerate(routes):
             if route.match.zones and zone not in route.match.zones:
                 continue
             for prefix in set(route.match.objects) or {""}:
                 self.by_prefix.setdefault(prefix, []).append((order, route))
-        self.lengths = sorted({len(prefix) for prefix in self.by_prefix})
-        self.planes: dict[tuple[str, str, bool, bool], Plane | None] = {}
+        self.kinds: dict[tuple[str, bool, bool], Kind] = {}  # of classes that there are, four each
 
     def find(self, cls: str, object: str, group: int, part: int, retry: bool, write: bool) -> int:
         """The place of the first route that takes a request, or -1.  ``object`` is 16 hex digits."""
-        best = NOBODY
-        for length in self.lengths:
-            prefix = object[:length]
-            if prefix in self.by_prefix:
-                plane = self.plane(prefix, cls, retry, write)
-                if plane is not None:
-                    best = min(best, plane.first(group, part))
+        key = cls, retry, write
+        kind = self.kinds.get(key)
+        if kind is None:
+            kind = self.kinds[key] = Kind(self.by_prefix, cls, retry, write)
+        best = kind.first(object, group, part)
         return -1 if best == NOBODY else best
 
-    def plane(self, prefix: str, cls: str, retry: bool, write: bool) -> Plane | None:
-        """The plane of these, laid out when it is first wanted: their number is bounded by the file."""
-        key = prefix, cls, retry, write
-        if key not in self.planes:
-            routes = [(order, route) for order, route in self.by_prefix[prefix]
-                      if (not route.match.classes or cls in route.match.classes)
-                      and route.match.retry in (None, retry) and route.match.write in (None, write)]
-            self.planes[key] = Plane(routes) if routes else None
-        return self.planes[key]
-
 
 def too_complex(routes: Sequence[Route]) -> int:
     """Cells of the largest plane that these routes may need, where that is over CELLS_MOST; else 0."""
--- a/kelpcroft/routes/table.py
+++ b/kelpcroft/routes/table.py
@@ -53,13 +53,13 @@
 class Grant:
     """What one request may cost, and the lane that it is in."""
 
-    __slots__ = ("lane", "bounds", "wait_ns", "copy_ns", "budget", "copy_budget")
+    __slots__ = ("lane", "bounds", "wait_ns", "copy_ns", "budget", "copy_budget", "learns")
 
     def __init__(self, lane: Lane, bounds: api.Bounds, wait_ns: int, copy_ns: int) -> None:
         self.lane, self.bounds = lane, bounds
         self.wait_ns = wait_ns               # for the whole answer, from now
         self.copy_ns = copy_ns               # after which a copy of an attempt is due; 0 = none
-        self.budget, self.copy_budget = lane.budget, lane.copy_budget
+        self.budget, self.copy_budget, self.learns = lane.budget, lane.copy_budget, lane.learns
 
     def room(self, now: int) -> bool:
         """Whether a further attempt is paid for."""
--- /dev/null
+++ b/kelplab/demo.py
@@ -0,0 +1,63 @@
+"""What `./demo` runs: a world, a router with examples/operator.kdl, and what becomes of some requests."""
+
+from __future__ import annotations
+
+import sys
+
+from kelpcroft.operator import load
+from kelpcroft.operator.explain import Asked, route_of
+from kelplab.standin import ROOT, Reply, Router, Seen, World
+
+ZONE = "edge-1"
+TROUBLED = "00000000000000aa"  # every first answer for this object is an error
+
+
+def script(server: str, seen: Seen) -> Reply:
+    """Caches hold pages; orders run at the origin; one object has trouble."""
+    if seen.fields["item"] == TROUBLED and len(SEEN.setdefault(seen.id, [])) == 0:
+        SEEN[seen.id].append(server)
+        return Reply("BROKE")
+    return Reply("DONE", 3, "mem" if server.startswith("cache") else "origin", f"by {server}".encode())
+
+
+SEEN: dict[str, list[str]] = {}
+
+
+def main() -> int:
+    """0 if every request got the answer that its route promises."""
+    text = (ROOT / "examples/operator.kdl").read_text()
+    file, faults = load(text.encode())
+    if faults:
+        print(faults[0].text("examples/operator.kdl"), file=sys.stderr)
+        return 1
+    good = True
+    with World(script) as world, Router(world, text) as router:
+        print(f"a router on {router.address[0]}:{router.address[1]}, two caches, a parent and the origin\n")
+        client = router.client()
+        print(f"{'class':8}{'object':20}{'part':>5}  {'route':8}{'answer':9}{'asked':22}{'ms':>6}")
+        for cls, item, part in (
+            ("page", "7f3a9c21e0b4d655", 0),
+            ("page", "7f3a9c21e0b4d655", 9),
+            ("page", TROUBLED, 1),
+            ("page", TROUBLED, 12),
+            ("order", "00000000000000bb", 0),
+            ("order", TROUBLED, 0),
+        ):
+            route = route_of(file, ZONE, Asked(cls, item, part, 17, write=cls == "order"))
+            trace = client.send(cls, object=item, part=part, body=b"one dish" if cls == "order" else b"")
+            answer = next(client.answers(1))
+            asked = [s.server for s in world.pulls(trace)]
+            print(
+                f"{cls:8}{item:20}{part:>5}  {route.name if route else '-':8}{answer.kind:9}"
+                f"{' then '.join(asked):22}{answer.took_ms:6.1f}"
+            )
+            # An order that met an error may have run: it fails, and is not sent again.
+            broken = cls == "order" and item == TROUBLED
+            good &= answer.kind == ("failed" if broken else "served")
+            good &= len(asked) == (2 if item == TROUBLED and not broken else 1)
+    print("\neach as its route says" if good else "\nNOT as the routes say")
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/kelplab/virtual.py
+++ b/kelplab/virtual.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import heapq
+import json
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
-from player import EXAMPLE, SERVERS
-
 from kelpcroft import messages as m
 from kelpcroft.config import parse
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.operator import check, load
+from kelplab.standin import ROOT, SERVERS
 from zincgrade.interface import Note, Outcome
 
 MS, S = 10**6, 10**9
 START = 1_764_576_000 * S
+EXAMPLE = json.loads((ROOT / "examples/config.json").read_bytes())
 FATES = {
     "done": Outcome.OK,
     "lack": Outcome.MISS,
@@ -45,6 +46,7 @@
     at: int
     sends: list[Sent] = field(default_factory=list)
     finals: list[tuple[int, m.Effect]] = field(default_factory=list)
+    more: Story | None = None  # the client's own retry, where a world has one
 
 
 class Virtual:
@@ -52,7 +54,7 @@
 
     def __init__(
         self,
-        rules: str,
+        rules: str | None,
         seed: int,
         fates: dict[str, float],
         slow_ns: int = 200 * MS,
@@ -76,7 +78,7 @@
             {**EXAMPLE, "known": known, "settings": {**EXAMPLE["settings"], **(settings or {})}}, {}
         )
         self.reducer = Reducer(self.config)
-        self.heap: list[tuple[int, int, m.Input]] = []
+        self.heap: list[tuple[int, int, m.Input | str]] = []
         self.made, self.now = 0, START
         self.stories: dict[str, Story] = {}
         self.by_call: dict[tuple[int, int], Story] = {}
@@ -84,7 +86,8 @@
         self.log: list[m.Log] = []
         self.carry_out(self.reducer.start(self.now))
         self.tell(m.Listening())
-        self.rules(rules)
+        if rules is not None:
+            self.rules(rules)
 
     def rules(self, text: str) -> None:
         """An operator's file, held against this deployment."""
@@ -92,10 +95,13 @@
         assert not faults and not (faults := check(file, self.config.settings)), [f.text("") for f in faults]
         self.tell(m.Rules(file))
 
-    def at(self, when: int, message: m.Input) -> None:
+    def at(self, when: int, message: m.Input | str) -> None:
         self.made += 1
         heapq.heappush(self.heap, (when, self.made, message))
 
+    def freed(self, server: str) -> None:
+        """What a world of its own asked to be told of with ``at``."""
+
     def tell(self, message: m.Input) -> None:
         self.carry_out(self.reducer.handle(self.now, message))
 
@@ -127,6 +133,9 @@
         """All that comes, up to a time after the start."""
         while self.heap and self.heap[0][0] <= START + until:
             self.now, _, message = heapq.heappop(self.heap)
+            if isinstance(message, str):
+                self.freed(message)
+                continue
             if isinstance(message, (m.Answer, m.LinkLost, m.LinkUp)) and message.link not in self.links:
                 continue
             if isinstance(message, m.LinkLost):
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,145 @@
+"""The ``kelpcroft`` command as a script would use it, ``./demo``'s program, and the log's lines."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner, Result
+
+from kelpcroft.cli import main
+from kelpcroft.log import EACH_MOST, WINDOW_NS, EventLog
+from kelpcroft.messages import Log
+from kelplab import demo
+from kelplab.standin import ROOT, Router, World
+
+CONFIG = str(ROOT / "examples/config.json")
+EXAMPLE = str(ROOT / "examples/operator.kdl")
+FAULTY = str(ROOT / "tests/faulty/two-faults-at-once.kdl")
+
+
+def run(*words: str) -> Result:
+    return CliRunner().invoke(main, list(words))
+
+
+class Command(unittest.TestCase):
+    def test_help_has_an_example_for_each_verb(self) -> None:
+        for verb in ("serve", "check", "explain", "diff"):
+            done = run(verb, "--help")
+            self.assertEqual(done.exit_code, 0)
+            self.assertIn(f"Example:  kelpcroft {verb}", done.output)
+            self.assertIn("--format", done.output)
+
+    def test_check(self) -> None:
+        self.assertEqual(run("check", EXAMPLE, "--config", CONFIG).exit_code, 0)
+        done = run("check", FAULTY, "--config", CONFIG)
+        self.assertEqual(done.exit_code, 1)
+        first = done.stdout.splitlines()[0]
+        self.assertRegex(first, r"two-faults-at-once\.kdl:6:13: bad-duration: timeout: '5' has no unit")
+        told = json.loads(run("check", FAULTY, "--format", "json").stdout)
+        self.assertFalse(told["good"])
+        self.assertEqual([f["code"] for f in told["faults"]], ["bad-duration", "unknown-key", "bad-range"])
+
+    def test_check_without_a_deployment_looks_at_the_file_alone(self) -> None:
+        path = str(ROOT / "tests/faulty/unknown-class.kdl")
+        self.assertEqual(run("check", path).exit_code, 0)
+        self.assertEqual(run("check", path, "--config", CONFIG).exit_code, 1)
+
+    def test_explain_names_route_lines_and_what_can_follow(self) -> None:
+        lines = Path(EXAMPLE).read_text().splitlines()
+        told = json.loads(run("explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--part", "9",
+                              "--format", "json").stdout)
+        self.assertEqual((told["route"], told["longest_wait_ms"], told["most_sends"]), ("tails", 2_000, 6))
+        for bound in told["bounds"]:
+            self.assertIn(bound["bound"].split()[0].replace("tried", "attempts").replace("budget", "budget="),
+                          lines[bound["line"] - 1])
+        order = run("explain", EXAMPLE, "--config", CONFIG, "--class", "order", "--write")
+        self.assertIn("one of which may have run", order.output)
+        self.assertIn("longest wait: 2.5s", order.output)
+
+    def test_diff(self) -> None:
+        self.assertEqual(run("diff", EXAMPLE, EXAMPLE, "--config", CONFIG).exit_code, 0)
+        with tempfile.TemporaryDirectory() as folder:
+            other = Path(folder) / "new.kdl"
+            other.write_text(Path(EXAMPLE).read_text().replace('part="8.."', 'part="4.."'))
+            done = run("diff", EXAMPLE, str(other), "--config", CONFIG)
+            self.assertEqual(done.exit_code, 1)
+            self.assertIn('class page: part="4..7"\n  rest -> tails\n', done.output)
+            told = json.loads(run("diff", EXAMPLE, str(other), "--format", "json").stdout)
+            self.assertEqual({c["class"] for c in told["changes"]}, {"page"})
+
+    def test_used_wrongly_is_one_line_and_two(self) -> None:
+        for words in (("check", "/nowhere/file"), ("check", EXAMPLE, "--config", "/nowhere/config"),
+                      ("check", EXAMPLE, "--config", EXAMPLE), ("check", str(ROOT)),
+                      ("explain", EXAMPLE, "--config", CONFIG, "--class", "pge"),
+                      ("explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--object", "xyz")):
+            with self.subTest(words=words):
+                done = run(*words)
+                self.assertEqual(done.exit_code, 2, done.output)
+                self.assertEqual(done.output.strip().count("\n"), 0, done.output)
+                self.assertTrue(done.output.startswith("Error: "))
+        for words in (("chek",), ("explain", EXAMPLE), ("explain", EXAMPLE, "--part", "-1")):
+            self.assertEqual(run(*words).exit_code, 2)
+
+    def test_serve_is_the_router_itself(self) -> None:
+        with World() as world, Router(world) as other, tempfile.TemporaryDirectory() as folder:
+            other.process.terminate()        # its configuration and its port are taken over
+            other.process.wait(20)
+            log = Path(folder) / "log"
+            words = ["serve", "--config", str(other.rules.with_name("config.json")), "--file", EXAMPLE,
+                     "--name", "n7", "--format", "json"]
+            with log.open("w") as stream:
+                other.process = subprocess.Popen(
+                    [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT,
+                    stderr=stream, env={**os.environ, "PYTHONPATH": str(ROOT)})
+            self.assertEqual(other.client().ask("page").kind, "served")
+            modules = Path(f"/proc/{other.process.pid}/cmdline").read_bytes().split(b"\0")
+            self.assertEqual(modules[1:3], [b"-m", b"kelpcroft"], "nothing of the command line stays")
+            other.process.terminate()
+            self.assertEqual(other.process.wait(20), 0)
+            lines = [json.loads(line) for line in log.read_text().splitlines()]
+            self.assertEqual({line["router"] for line in lines}, {"n7"})
+            self.assertIn("rules.taken", [line["event"] for line in lines])
+
+    def test_the_demo_ends_well(self) -> None:
+        self.assertEqual(demo.main(), 0)
+
+
+NOW = 1_764_576_000_123_456_789
+
+
+class Lines(unittest.TestCase):
+    def write(self, count: int, form: str) -> list[str]:
+        stream = io.StringIO()
+        log = EventLog("n1", stream, form)
+        for n in range(count):
+            log.write(NOW + n, Log("feed.lost", "feed: cut\noff", "warning", {"why": "cut"}))
+        log.write(NOW + WINDOW_NS, Log("feed.lost", "feed: again", "warning", {"level": 7}))
+        return stream.getvalue().splitlines()
+
+    def test_json_lines(self) -> None:
+        first, last = (json.loads(line) for line in self.write(1, "json"))
+        self.assertEqual(first, {"time": "2025-12-01T08:00:00.123456Z", "level": "warning", "router": "n1",
+                                 "event": "feed.lost", "text": "feed: cut\noff", "why": "cut"})
+        self.assertEqual(list(first)[0], "time")
+        self.assertEqual(last["level"], "warning", "an event's own field hides none of the first")
+
+    def test_floods_are_held_down_and_counted(self) -> None:
+        lines = self.write(EACH_MOST + 500, "json")
+        self.assertEqual(len(lines), EACH_MOST + 1)
+        self.assertEqual(json.loads(lines[-1])["suppressed"], 500)
+
+    def test_plain_lines(self) -> None:
+        lines = self.write(EACH_MOST + 3, "text")
+        due = "2025-12-01T08:00:10.123456Z WARNING feed.lost: feed: again (3 left out before)"
+        self.assertEqual(lines[-1], due)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -61,7 +61,7 @@
 
 
 def test_gate_that_admits_nothing_opens_again() -> None:
-    """After a spell of errors requests of one price were refused for good: at the least cutoff none was let in
+    """After a spell of errors requests of one price were refused for good: at the least cutoff none was taken
     whose answer could have opened it."""
     gate = Gate()
     gate.cutoff = GATE_LEAST
--- a/tests/test_routes_loopback.py
+++ b/tests/test_routes_loopback.py
@@ -107,6 +107,19 @@
         self.assertTrue(300 <= answer.took_ms < LONG / 2, answer)
         self.assertLessEqual(int(first.fields["limit"]), 150, "the server is told the attempt's time")
 
+    def test_an_answer_that_comes_late_is_nobodys(self) -> None:
+        """Attempts end at their time-out; what comes after it ends neither this request nor the next."""
+        world = World(lambda server, seen: Reply("DONE", 300 if seen.fields["chunk"] == "1" else 0))
+        router = self.start(world, 'route "rest" { match; attempt timeout="100ms"; attempts most=1; }')
+        client = router.client()
+        late = client.ask("page", patience_ms=LONG, part=1)
+        self.assertEqual(late.kind, "refused")
+        kinds = [client.ask("page", patience_ms=LONG, part=n).kind for n in range(2, 60)]
+        self.assertEqual(set(kinds), {"served"})
+        with world.lock:
+            self.assertEqual([s.word for s in world.seen if s.fields.get("chunk") == "1"], ["PULL"])
+            self.assertEqual(sum(s.word == "KILL" for s in world.seen), 1)
+
     def test_the_whole_wait_ends_before_the_client_does(self) -> None:
         for timeout in ("400ms", "4%"):
             with self.subTest(timeout=timeout):
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -108,7 +108,7 @@
     def arrives(self, price: float, work: float, now: int) -> None:
         """A request of this sending time per worth, and its sending time."""
         if self.cutoff < GATE_OPEN and now - max(self.heard_ns, self.cut_ns) > SECOND_NS:
-            # Requests of one price are all shut out at the least cutoff, so that no answer would ever open it.
+            # Requests of one price may all be shut out at the least cutoff: no answer would open it.
             self.cutoff, self.heard_ns = min(GATE_OPEN, self.cutoff * GATE_SECOND), now
         self.work = self.work * math.exp((self.seen_ns - now) / LOAD_NS) + work
         self.seen_ns = now
