--- a/kelpcroft/operator/boxes.py
+++ b/kelpcroft/operator/boxes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 from itertools import product
 
 from kelpcroft.operator.model import GROUPS, PARTS, Range, Route
@@ -16,7 +17,7 @@
 
 OBJECTS: Range = (0, (1 << 64) - 1)
 BOTH: Range = (0, 1)
-CUTS_MOST = 150_000          # about a third of a second of Python
+CUTS_MOST = 100_000          # some tenths of a second of Python
 BOXES_MOST = 2_000           # of one class
 Box = tuple[Range, ...]      # retry, write, group, part, object
 WHOLE: Box = (BOTH, BOTH, GROUPS, PARTS, OBJECTS)
@@ -31,13 +32,18 @@
 
 def meets(a: Box, b: Box) -> bool:
     """Whether two boxes share a point."""
-    return all(x[0] <= y[1] and y[0] <= x[1] for x, y in zip(a, b, strict=True))
+    for (low, high), (other_low, other_high) in zip(a, b):  # noqa: B905 - in the innermost loop
+        if low > other_high or other_low > high:
+            return False
+    return True
 
 
 def cut(box: Box, away: Box) -> Iterator[Box]:
     """What is left of a box, as disjoint boxes; they meet."""
     for axis, (low, high) in enumerate(away):
         here_low, here_high = box[axis]
+        if low <= here_low and here_high <= high:
+            continue
         if here_low < low:
             yield (*box[:axis], (here_low, low - 1), *box[axis + 1:])
         if here_high > high:
@@ -45,6 +51,12 @@
         box = (*box[:axis], (max(low, here_low), min(high, here_high)), *box[axis + 1:])
 
 
+def count(route: Route) -> int:
+    """How many boxes a route's match takes."""
+    m = route.match
+    return max(1, len(m.groups)) * max(1, len(m.parts)) * max(1, len(m.objects))
+
+
 def boxes(route: Route) -> list[Box]:
     """All that a route's match takes of a class."""
     m = route.match
@@ -66,21 +78,24 @@
 
     def add(self, route: Route) -> set[str]:
         """Classes of which this route takes something.  Empty for one that can never match."""
-        mine = boxes(route)
-        names = route.match.classes or tuple(self.left)
+        names = tuple(dict.fromkeys(route.match.classes)) or tuple(self.left)
         if not self.here(route):
             return set(names)                # another zone's: what is left there is not known here
         taken: set[str] = set()
+        mine = [] if self.given_up else boxes(route)
         for name in names:
             left = self.left[name]
             if self.given_up:
                 if left:
                     taken.add(name)
-                if route.match.classes in ((), (name,)) and mine == [WHOLE]:
+                if replace(route.match, classes=(), zones=()).rest():
                     self.left[name] = []
                 continue
             for box in mine:
                 self.cuts += len(left) + 1
+                if self.cuts > CUTS_MOST:
+                    taken.add(name)
+                    break
                 hit = [b for b in left if meets(b, box)]
                 if hit:
                     taken.add(name)
--- a/kelpcroft/operator/check.py
+++ b/kelpcroft/operator/check.py
@@ -8,11 +8,12 @@
 
 import gc
 from collections.abc import Generator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TypeVar
 
 from kelpcroft.messages import Rules
-from kelpcroft.operator.boxes import Cover
+from kelpcroft.operator.boxes import Cover, count
 from kelpcroft.operator.faults import Fault, Faults, Place, TooMany, instead, shown
 from kelpcroft.operator.model import Bounds, File, Route
 from kelpcroft.operator.reader import Reader
@@ -21,16 +22,24 @@
 from zincgrade import interface as api
 
 MS = 1_000_000
+BOXES_MOST = 50_000          # groups times parts times objects, of all routes together
 T = TypeVar("T")
 Steps = Generator[None, None, T]
 
 
 def load(data: bytes) -> tuple[File, list[Fault]]:
     """A file's bytes as a model, and all that is wrong with it without regard to a deployment."""
+    with collections_off():
+        return finish(loading(data))
+
+
+@contextmanager
+def collections_off() -> Generator[None, None, None]:
+    """Nothing here is cyclic, and collections took half of the time of a large file."""
     collects = gc.isenabled()
-    gc.disable()                             # nothing here is cyclic; collections took half of the time
+    gc.disable()
     try:
-        return finish(loading(data))
+        yield
     finally:
         if collects:
             gc.enable()
@@ -84,6 +93,14 @@
     if not file.routes and file.defaults != Bounds():
         place = min(file.defaults.places.values(), default=Place(1, 1))
         faults.add(place, "no-rest", "the defaults have no route to apply to; add route \"rest\" { match }")
+    total = 0
+    for route in file.routes:
+        total += count(route)
+        if total > BOXES_MOST:
+            faults.add(route.match_place, "too-complex", f"up to route {shown(route.name)} the lists of "
+                       f"groups, parts and objects make over {BOXES_MOST} cases; use ranges")
+            return
+    yield
     cells = too_complex(file.routes)
     if cells:
         faults.add(file.routes[0].place, "too-complex", f"{cells} meetings of group and part ranges under "
@@ -121,7 +138,8 @@
 
 def check(file: File, settings: api.Settings) -> list[Fault]:
     """All that is wrong with a file in a deployment.  Empty for a file that may be used there."""
-    return finish(checking(file, settings))
+    with collections_off():
+        return finish(checking(file, settings))
 
 
 def checking(file: File, settings: api.Settings) -> Steps[list[Fault]]:
@@ -158,6 +176,8 @@
                        f"route {shown(route.name)} can never match: {names or 'nothing'} takes all of it"
                        + ("; move it up" if earlier else ""))
             continue
+        if not route.bounds.places:
+            continue                         # it says nothing that could be wrong
         for cls in settings.classes:
             if cls.name in takes:
                 class_rules(route, cls, settings, faults)
--- a/kelpcroft/operator/text.py
+++ b/kelpcroft/operator/text.py
@@ -16,7 +16,7 @@
 from kelpcroft.operator.faults import NEWLINE, Faults, Place, Source, shown
 
 BYTES_MOST = 1 << 20         # of a file
-NODES_MOST = 22_000          # in it
+NODES_MOST = 20_100          # in it
 DEPTH_MOST = 16              # of children in children
 ENTRIES_MOST = 200_000       # arguments and properties in all
 
@@ -30,6 +30,9 @@
     r'|(?P<long>"""(?s:(?:\\.|[^\\])*?)""")|(?P<string>"(?:\\(?s:.)|[^"\\])*")'
     r"|(?P<word>(?:[^\s{}();=\"\\/\ufeff\x85\u2028\u2029])+)|(?P<end>\Z))")
 EQUALS = re.compile(rf"{BLANK}*(?:(?P<sure>=)|/\*|\\)")
+SIMPLE = re.compile(                        # most properties and arguments, in one match
+    rf'{BLANK}*(?:(?P<key>[A-Za-z_][A-Za-z0-9_-]*)=(?P<value>"[^"\\\n\r]*"|[A-Za-z0-9_.#-]+)'
+    r'|(?P<arg>"[^"\\\n\r]*"))(?=[ \t\n;{}])')
 BLOCK = re.compile(r"/\*|\*/")
 
 
@@ -115,6 +118,15 @@
         """A node's arguments and properties up to its end.  True where its children begin."""
         while True:
             start = self.at
+            simple = SIMPLE.match(self.text, start)
+            if simple is not None and self.entries < ENTRIES_MOST:
+                self.entries += 1
+                self.at = spot.end = simple.end()
+                if simple["key"] is not None:
+                    spot.props.append((simple["key"], simple.start("key"), simple.start("value")))
+                else:
+                    spot.args.append(simple.start("arg"))
+                continue
             kind, at, word = self.take()
             dropped = kind == "dash"
             if dropped:
--- a/tests/test_operator_faulty.py
+++ b/tests/test_operator_faulty.py
@@ -21,6 +21,8 @@
 
 HERE = Path(__file__).parent
 HEAD = "kelpcroft version=1\n"
+LISTS = (f'route "r" {{ match part="{",".join(map(str, range(0, 9_999, 2)))}" '
+         f'object="{",".join(f"{n:04x}" for n in range(0, 65_536, 2))}"; }}')  # it took minutes
 
 
 def judged(data: bytes, settings: api.Settings) -> tuple[File, list[Fault]]:
@@ -62,6 +64,7 @@
             ((HEAD + "route\n" * 100_000).encode(), "missing-value"),
             ((HEAD + "defaults {" + "moves;" * 100_000 + "}").encode(), "too-many-nodes"),
             ((HEAD + 'route "r" { match ' + 'part="1" ' * 100_000 + "}").encode(), "duplicate-key"),
+            ((HEAD + LISTS).encode(), "too-complex"),
             ((HEAD + "a {" * 10_000 + "}" * 10_000).encode(), "too-deep"),
             ((HEAD + "a " + "/*" * 200_000).encode(), "not-kdl"),
             ((HEAD + 'a "' + "\\\\" * 200_000).encode(), "not-kdl"),
