Begin fleet-wide purges: one order for all routers, and the floors that purges set

Need: purges must take effect in one order whatever clocks say, and 100,000 of them must not slow a request. Pure and not wired in yet.

--- /dev/null
+++ b/kelpcroft/purge/__init__.py
@@ -0,0 +1,3 @@
+"""Fleet-wide purges: what is purged, in one order that all routers agree on, and the floors that follow.
+Pure.
+"""
