Refuse files of over 40,000 arguments and properties, which took up to 1.4 s

Seen: of twenty files made to be slow those with the most arguments took longest, 1.4 s where a second is the aim. Change: the limit is 40,000, twice what 10,000 routes of one object need.

--- a/kelpcroft/operator/text.py
+++ b/kelpcroft/operator/text.py
@@ -18,7 +18,7 @@
 BYTES_MOST = 1 << 20         # of a file
 NODES_MOST = 20_100          # in it
 DEPTH_MOST = 16              # of children in children
-ENTRIES_MOST = 200_000       # arguments and properties in all
+ENTRIES_MOST = 40_000        # arguments and properties in all
 
 Value = str | int | float | bool | None
 
--- a/tests/test_operator_faulty.py
+++ b/tests/test_operator_faulty.py
@@ -63,7 +63,7 @@
             (b"/" * (BYTES_MOST + 1), "too-large"),
             ((HEAD + "route\n" * 100_000).encode(), "missing-value"),
             ((HEAD + "defaults {" + "moves;" * 100_000 + "}").encode(), "too-many-nodes"),
-            ((HEAD + 'route "r" { match ' + 'part="1" ' * 100_000 + "}").encode(), "duplicate-key"),
+            ((HEAD + 'route "r" { match ' + 'part="1" ' * 100_000 + "}").encode(), "too-many-nodes"),
             ((HEAD + LISTS).encode(), "too-complex"),
             ((HEAD + "a {" * 10_000 + "}" * 10_000).encode(), "too-deep"),
             ((HEAD + "a " + "/*" * 200_000).encode(), "not-kdl"),
