Trace every step of every attempt to the log when ROUTER_TRACE=1

Counts across all routers need each send, end, dial and list event with its time; the log limits and sums them. Off by default: where nothing is traced, callers look at one flag and make nothing.

--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -40,6 +40,7 @@
     settings: Settings
     kinds: Kinds
     known: News
+    trace: bool = False      # ROUTER_TRACE=1: every step of every attempt goes to the log
 
 
 def address_of(key: str, text: Any) -> Address:
@@ -123,4 +124,4 @@
         max_streams=number("settings.limits.max_streams", lim.get("max_streams"), 1, 1),
         idle_ns=number("settings.limits.conn_idle_ns", lim.get("conn_idle_ns"), 0, 0),
         dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
-        settings=settings, kinds=kinds, known=known)
+        settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1")
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -77,6 +77,8 @@
         if link is None:
             return
         link.up, link.heard_ns, link.idle_ns = True, self.state.now, self.state.now
+        if self.state.traced:
+            self.state.trace("up", server=link.server, link=number, waiting=len(link.waiting))
         waiting, link.waiting = link.waiting, {}
         for id, n in waiting.items():
             link.out[id] = n
@@ -90,6 +92,9 @@
         link = self.state.links.remove(lost.link)
         if link is None:
             return
+        if self.state.traced:
+            self.state.trace("lost", server=link.server, link=lost.link, up=link.up, why=lost.why,
+                             down=lost.down, load=link.load())
         if link.load():
             out = link.load()
             self.state.log("link.lost", f"connection to {link.server} lost with {out} out: {lost.why}",
@@ -170,6 +175,11 @@
         self.state.touched.append(request)
         self.state.tally[outcome.name.lower()] += 1
         request.ran = not outcome.proves_not_run
+        if self.state.traced:
+            self.state.trace("ended", id=request.call.trace, cls=request.call.cls, server=attempt.fetch.cache,
+                             source=attempt.fetch.source, n=attempt.index, outcome=outcome.name,
+                             note=note.name, took=self.state.now - attempt.began_ns, waited=waited_ns,
+                             sent=attempt.sent, report=report or {})
         grant = request.grant
         if grant is not None and grant.learns and attempt.sent and outcome in LASTED:
             grant.saw(self.state.now, self.state.now - attempt.began_ns)
@@ -269,6 +279,10 @@
             attempt.link.watched = True
             self.state.wake(self.quiet_ns(), Timer.QUIET, attempt.link.number)
         due = min(attempt.began_ns + f.timeout_ns, attempt.request.deadline_ns)
+        if self.state.traced:
+            self.state.trace("sent", id=c.trace, cls=c.cls, server=f.cache, source=f.source, n=attempt.index,
+                             rank=f.rank, held_only=f.held_only, late=self.state.now - attempt.began_ns,
+                             limit=due - self.state.now)
         self.state.effects.append(m.Pull(
             link=attempt.link.number, id=c.trace, cls=c.cls, object=c.object, part=c.part,
             limit_ms=max(1, (due - self.state.now) // MS), source="" if f.source == f.cache else f.source,
@@ -287,6 +301,9 @@
             link = self.state.links.add(endpoint)
             if link:
                 self.state.tally["dials"] += 1
+                if self.state.traced:
+                    self.state.trace("dial", server=server, link=link.number,
+                                     standing=len(self.state.links.by_server[server]) - 1)
                 self.state.effects.append(m.Dial(link.number, endpoint.address))
                 self.state.wake(self.state.config.dial_ns, Timer.DIAL, link.number)
         if link and not link.load():
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -51,6 +51,9 @@
             for name in [n for n in self.state.endpoints if n not in kept]:
                 self.leave(name)
         self.listed = True
+        if self.state.traced:
+            self.state.trace("list", whole=members.whole, servers=[
+                [e.name, e.kind, e.zone, e.state, e.weight, e.started_ns] for e in members.endpoints])
         for e in members.endpoints:
             if e.state == "in_service":
                 self.state.endpoints[e.name] = e
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -46,6 +46,9 @@
         self.state.traces.add(c.trace)
         self.state.tally["taken"] += 1
         self.state.touched.append(request)
+        if self.state.traced:
+            self.state.trace("taken", id=c.trace, cls=c.cls, object=c.object, part=c.part_number,
+                             patience=c.patience_ns, retry=c.retry)
         self.state.events.append(api.Request(
             id=request.id, cls=c.cls, patience_ns=patience, object=c.object_number, part=c.part_number,
             group=c.group, write=len(c.body) > 0, retry=c.retry,
@@ -64,6 +67,10 @@
             del self.state.calls[request.call.client]
         if request.grant is not None:
             request.grant.release()
+        if self.state.traced:
+            self.state.trace("final", id=request.call.trace, cls=request.call.cls, tries=request.tries,
+                             how=type(answer).__name__ if answer else "gone", out=request.out,
+                             left=request.deadline_ns - self.state.now)
         if answer:
             self.state.effects.append(answer)
 
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -87,6 +87,12 @@
         self.events: deque[api.Event] = deque()              # for the module, of this input
         self.touched: list[Request] = []                     # new, or with an attempt ended, in this input
         self.now = 0
+        self.traced = config.trace                           # every attempt's way is told to the log
+
+    def trace(self, event: str, **fields: object) -> None:
+        """One step of a request or of a connection, for tools/fleet_counts.py.  Callers look at ``traced``
+        first: where nothing is traced, nothing is made for it."""
+        self.effects.append(m.Log(f"trace.{event}", event, "info", fields))
 
     def wake(self, after_ns: int, timer: Timer, number: int = 0) -> None:
         self.effects.append(m.Wake(self.now + after_ns, (timer, number, 0)))
--- a/kelpcroft/log.py
+++ b/kelpcroft/log.py
@@ -64,6 +64,7 @@
 
     def __init__(self, router: str, stream: IO[str] | None = None, form: str = "") -> None:
         stream = stream or sys.stderr
+        self.stream, self.router = stream, router
         self.limiter = Limiter()
         self.logger = logging.Logger("kelpcroft", logging.INFO)
         handler = logging.StreamHandler(stream)
@@ -73,7 +74,12 @@
         self.logger.addHandler(handler)
 
     def write(self, now: int, log: Log) -> None:
-        """One event."""
+        """One event.  Traced steps are asked for one by one, and all of them are wanted."""
+        if log.event.startswith("trace."):
+            self.stream.write(orjson.dumps(
+                {"t": now, "router": self.router, "event": log.event[6:], **log.fields}, default=str
+            ).decode() + "\n")
+            return
         left_out = self.limiter.admits(now, log.event)
         if left_out < 0:
             return
