--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -32,6 +32,8 @@
 GATE_OPEN, GATE_LEAST = 6.0, 0.4  # limits of the shedding cutoff, in mean sending times per worth
 LATE_SHARE, LATE_GAIN = 0.25, 0.15  # recent share of late answers that lowers the cutoff; its averaging
 GATE_CUT, GATE_GROW = 0.45, 1.02  # what a cut and an answer in time multiply it by
+LINK_FALL = 1.35               # the cutoff for fills falls by e to so much for each full link over what fits
+LINK_NS = 3 * SECOND_NS        # a report of the link is believed so long
 GATE_SECOND, GATE_SPARE = 1.25, 2.0  # at the least, a second with answers in time, or in a third of it
 LOAD_NS, RECENT = 4 * SECOND_NS, 64  # offered work fades in this time; requests kept to place the bound
 CACHE_ROOM, FILL_ROOM = 0.95, 1.0  # share of the told links that may be planned for
@@ -89,6 +91,7 @@
         self.late, self.cut_ns = 0.0, 0    # recent share of late answers; last time the cutoff was lowered
         self.recent: deque[tuple[float, float]] = deque(maxlen=RECENT)
         self.work, self.seen_ns, self.ceiling = 0.0, 0, math.inf  # offered of late, until when; what fits
+        self.link, self.link_ns = 0.0, 0   # transfers on the location's link over those that fit; when told
 
     def told(self, late: bool, start_ns: int, now: int, spare: bool = False) -> None:
         """One answer's timeliness.  Requests taken before the last cut say nothing of its effect."""
@@ -128,9 +131,13 @@
                     self.ceiling = price
                     break
 
-    def admits(self, price: float) -> bool:
-        """Whether a request of this sending time per worth is taken."""
-        return price <= self.ceiling and (self.cutoff >= GATE_OPEN or price <= self.scale.mean * self.cutoff)
+    def admits(self, price: float, now: int = 0) -> bool:
+        """Whether a request of this sending time per worth is taken.  A link that is told to be over-full
+        counts at once: what all routers of a zone put on it runs on though its clients have left, so it jams
+        for good before any one of them has seen enough late answers."""
+        over = self.link - 1 if now - self.link_ns < LINK_NS else 0.0
+        cutoff = self.cutoff if over <= 0 else min(self.cutoff, GATE_OPEN * math.exp(-LINK_FALL * over))
+        return price <= self.ceiling and (cutoff >= GATE_OPEN or price <= self.scale.mean * cutoff)
 
 
 @dataclass(slots=True)
@@ -384,8 +391,8 @@
             self.gates[True].arrives(price, work, self.now)
             self.gates[True].bound(min(fills if told and fills else math.inf, link or math.inf) / self.real)
             # Too dear a fill may still be a hit: look in its cache, without a fill, before refusing.
-            held.look = not self.gates[True].admits(price)
-        return self.gates[False].admits(price)
+            held.look = not self.gates[True].admits(price, self.now)
+        return self.gates[False].admits(price, self.now)
 
     def on_end(self, e: api.AttemptEnded) -> None:
         held = self.held.get(e.id)
@@ -528,7 +535,7 @@
         for cache in caches:
             for source in self.sources(held, cache):
                 return cache, source
-        if self.s.direct:
+        if self.s.direct and not held.look:
             # Exception: no cache of the zone can take it (all dead, cold or draining): straight to a parent
             # or the origin, so that a lost zone's clients are still served.
             for node in self.sources(held, None):
@@ -740,6 +747,8 @@
         if held.fills and (e.note is not Note.NONE or e.outcome is Outcome.MISS):
             self.real = max(FILL_GAIN, self.real + FILL_GAIN * ((e.note is not Note.HIT) - self.real))
         filled = a.source is not a.node
+        if "x1" in e.report and a.node.line.role is Role.CACHE:
+            self.gates[True].link, self.gates[True].link_ns = e.report["x1"], now
         if e.outcome in (Outcome.OK, Outcome.FULL) and not a.trial:
             fill = held.fills if e.note is Note.NONE else e.note is not Note.HIT
             self.judge(held, e.outcome is Outcome.FULL or self.overdue(held), fill)
