--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -181,6 +181,6 @@
         end(p, S + n * 20 * MS + MS, f, Outcome.OK, took=MS, note=Note.HIT)
     now = 6 * S
     for node in p.nodes.values():
-        expected = sum(w for t, w in node.window if t > now - S // 2)
-        assert abs(node.recent(now - S // 2) - expected) < 1e-3 and len(node.window) <= 200
-        assert node.recent(now) == 0.0 and not node.window
+        expected = sum(w for t, w in node.sent.items if t > now - S // 2)
+        assert abs(node.sent.since(now - S // 2) - expected) < 1e-3 and len(node.sent.items) <= 200
+        assert node.sent.since(now) == 0.0 and not node.sent.items
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -130,7 +131,7 @@
     gate = Gate()
     for n in range(64):
         gate.arrives(1.0 + n % 2 * 9, 1.0, n)
-    gate.bound(0.5 * gate.work / (4 * S))
+    gate.bound(0.5 * gate.work.total / (4 * S))
     assert gate.admits(1.0) and not gate.admits(10.1)
 
 
@@ -174,7 +175,7 @@
     p = policy()
     (f,) = fetches(ask(p, S, "r", 1, size_kb=100.0))
     p.handle(2 * S, api.AttemptEnded("r", 0, f.cache, Outcome.OK, S, True, Note.FILLED, 20 * MS))
-    assert p.nodes[f.source].first.mean == 900 * MS
+    assert round(math.exp(p.nodes[f.source].first.mean)) == 900 * MS
 
 
 @pytest.mark.parametrize("others", [10, 200])
@@ -204,7 +205,7 @@
         for f in fetches(ask(p, S + n * S, f"r{n}", n)):
             end(p, S + n * S + MS, f, Outcome.OK, note=Note.HIT)
     assert len(p.nodes) <= len(servers()) + 2
-    assert all(len(n.window) <= 300 for n in p.nodes.values())
+    assert all(len(n.sent.items) <= 300 for n in p.nodes.values())
 
 
 def test_only_hits_for_long_do_not_stop_the_bound() -> None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 
 from kit import MS, S, ask, fetches, policy, servers
 
@@ -27,6 +31,149 @@
     return p
 
 
+Reply = tuple[int, Outcome, Note, dict[str, float]]
+
+
+class Fleet:
+    """Many routers in virtual time; ``reply`` says when and how an attempt ends, or is None: never."""
+
+    def __init__(self, routers: list[Policy], reply: Callable[[int, api.Fetch], Reply | None]) -> None:
+        self.routers, self.reply = routers, reply
+        self.heap: list[tuple[int, int, int, api.Event]] = []
+        self.made = 0
+        self.sent: list[tuple[int, api.Fetch]] = []
+        self.ended: list[tuple[int, api.Action]] = []
+        self.tries: dict[tuple[int, str], int] = {}
+
+    def at(self, when: int, router: int, event: api.Event) -> None:
+        self.made += 1
+        heapq.heappush(self.heap, (when, self.made, router, event))
+
+    def run(self, until: int) -> None:
+        while self.heap and self.heap[0][0] <= until:
+            now, _, n, event = heapq.heappop(self.heap)
+            for a in self.routers[n].handle(now, event):
+                if isinstance(a, api.SetTimer):
+                    self.at(a.at_ns, n, api.TimerDue(a.label))
+                elif isinstance(a, api.Fetch):
+                    self.sent.append((now, a))
+                    number = self.tries.get((n, a.id), 0)
+                    self.tries[n, a.id] = number + 1
+                    took, outcome, note, report = self.reply(now, a) or (
+                        a.timeout_ns, Outcome.TIMEOUT, Note.NONE, {})
+                    self.at(now + took, n, api.AttemptEnded(a.id, number, a.cache, outcome, took,
+                                                            outcome is Outcome.OK, note, 50 * MS, report))
+                elif isinstance(a, (api.Refuse, api.Fail)):
+                    self.ended.append((now, a))
+
+    def ask(self, start: int, end: int, each_ns: int, random: Random, objects: int = 10**6) -> None:
+        """Requests to every router, one in ``each_ns`` on average, for objects drawn at random."""
+        for n in range(len(self.routers)):
+            now = start
+            while now < end:
+                now += int(random.expovariate(1) * each_ns)
+                self.made += 1
+                self.at(now, n, api.Request(f"{n}-{self.made}", "safe", 3 * S, random.randrange(objects)))
+
+
+class SlowParent(unittest.TestCase):
+    """One of two parents sent answers at an eighth of its pace.  Each router went on giving it fills, as an
+    answer that did not come in time told nothing of the parent."""
+
+    def test_fills_leave_a_parent_whose_answers_do_not_come(self) -> None:
+        random = Random(1)
+        bad_from = 10 * S
+
+        def reply(now: int, f: api.Fetch) -> Reply | None:
+            if f.source == "p0" and now >= bad_from and random.random() < 0.7:
+                return None
+            return int(random.lognormvariate(0, 0.8) * 250 * MS), Outcome.OK, Note.FILLED, {}
+
+        fleet = Fleet([policy(weights="off", pace_kb_per_s=0.0, instances=40, self_index=n)
+                       for n in range(40)], reply)
+        fleet.ask(2 * S, 18 * S, 250 * MS, random)
+        fleet.run(22 * S)
+
+        def share(start: int, end: int) -> float:
+            found = [f.source for at, f in fleet.sent if start <= at < end and f.source in ("p0", "p1")]
+            return found.count("p0") / len(found)
+
+        self.assertGreater(share(5 * S, 10 * S), 0.35)
+        self.assertLess(share(14 * S, 18 * S), 0.15, "four seconds later hardly any router uses it")
+
+    def test_the_origin_shares_fills_when_the_only_parent_is_far_slower(self) -> None:
+        random = Random(2)
+
+        def reply(now: int, f: api.Fetch) -> Reply | None:
+            took = 2500 * MS if f.source == "p0" and now > 4 * S else 300 * MS
+            return took, Outcome.OK, Note.FILLED_FROM_ORIGIN if f.source == "o" else Note.FILLED, {}
+
+        lines = [replace(x, weight=1.0) for x in servers() if x.name != "p1"]
+        fleet = Fleet([policy(lines, weights="off", pace_kb_per_s=0.0, instances=40, self_index=n)
+                       for n in range(40)], reply)
+        for n in range(40):                # writes run at the origin, which is how its time is known
+            for k in range(5):
+                fleet.at(S + k * 100 * MS, n, api.Request(f"w{n}-{k}", "unsafe", 3 * S, k, write=True))
+        fleet.ask(2 * S, 14 * S, 250 * MS, random)
+        fleet.run(18 * S)
+        before = [f.source for at, f in fleet.sent if 2 * S < at < 4 * S]
+        after = [f.source for at, f in fleet.sent if at > 9 * S]
+        self.assertEqual(before.count("o"), 0)
+        self.assertGreater(after.count("o") / len(after), 0.3)
+
+
+class ColdZone(unittest.TestCase):
+    """A whole zone came back cold, its routers restarted with it.  None had a warm cache to compare with, so
+    each cache was held to be able to do one transfer, and stood idle while its clients were refused."""
+
+    ROUTERS, CAPACITY, UNIT = 9, 12.0, 0.25
+
+    def fleet(self, told: bool) -> tuple[Fleet, int]:
+        start, random = 100 * S, Random(3)
+        work: dict[str, list[int]] = {}
+
+        def reply(now: int, f: api.Fetch) -> Reply | None:
+            sends = work.setdefault(f.cache, [])
+            sends.append(now)
+            if f.cache not in ("c0", "c1", "c2", "c3"):
+                return 300 * MS, Outcome.OK, Note.FILLED, {}
+            share = min(1.0, 0.2 + 0.8 * (now - start) / (15 * S))
+            lately = sum(now - 1300 * MS < at <= now - 300 * MS for at in sends) * self.UNIT
+            busy = lately / (share * self.CAPACITY)
+            took = int(self.UNIT * S * max(1.0, busy))
+            return took, Outcome.OK, Note.FILLED, {"utilization": busy, "x0": 0.01, "x1": 0.5}
+
+        lines = [replace(x, started_ns=start if told and x.role is api.Role.CACHE and x.zone == "a" else 0,
+                         weight=1.0) for x in servers()]
+        routers = [policy(lines, weights="off", pace_kb_per_s=0.0, direct=True, instances=40, self_index=n,
+                          zone_instances=self.ROUTERS, cold_from=0.17, cold_ns=15 * S, fall_multiple=2.5,
+                          fall_ns=2 * S) for n in range(self.ROUTERS)]
+        fleet = Fleet(routers, reply)
+        fleet.ask(start, start + 20 * S, 100 * MS, random)
+        fleet.run(start + 24 * S)
+        return fleet, start
+
+    def check(self, fleet: Fleet, start: int, since: int) -> None:
+        """The rule over all routers, in every window of two seconds; and that the caches are put to use."""
+        for name in ("c0", "c1", "c2", "c3"):
+            sends = [at - start for at, f in fleet.sent if f.cache == name]
+            for step in range(since // (100 * MS), 130):
+                at = step * 100 * MS
+                share = 0.2 + 0.8 * at / (15 * S)
+                window = sum(at <= x < at + 2 * S for x in sends) * self.UNIT
+                self.assertLessEqual(window, 2.5 * share * self.CAPACITY * 2, (name, at))
+            self.assertGreater(sum(10 * S <= x < 14 * S for x in sends) / 4, 6, name)
+
+    def test_told_caches_are_used_within_the_rule(self) -> None:
+        self.check(*self.fleet(told=True), 0)
+
+    def test_few_hits_told_make_a_cache_cold_before_the_list_does(self) -> None:
+        fleet, start = self.fleet(told=False)
+        self.check(fleet, start, 500 * MS)
+        for router in fleet.routers:
+            self.assertTrue(all(router.nodes[f"c{n}"].born_ns > 0 for n in range(4)))
+
+
 class FullLink(unittest.TestCase):
     """All copies went void at once, and every router of the zone went on asking for fills.  Fills whose
     clients have left run on, so the link held sixty times what fits until the day's end."""
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -13,6 +13,7 @@
 from hashlib import blake2b
 
 from zincgrade import interface as api
+from zincgrade.estimate import Faded, Sliding, Spread, mix
 from zincgrade.interface import Action, Effect, Note, Outcome, Role
 
 MS = 1_000_000
@@ -47,6 +48,8 @@
 REUSE_HALF_NS = 15 * SECOND_NS  # an object's request count halves in this time
 RANK_REUSED, RANK_HOT = 1.5, 4.0  # counts from which a copy is kept at rank 2 and 3
 COLD_SAFETY = 0.6              # share of the toppling budget that we spend: others may guess otherwise
+COLD_BUSY, COLD_IDLE = 0.7, 0.25  # how busy a cold cache may get by its reports; less is taken for this much
+COLD_HITS = 0.02               # a cache that reports so few hits has started, though no list has told it yet
 UNTOLD_ROOM = 0.5              # a peer's capacity over our load on it, which in a jam is more than it can do
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # further attempts earned by each request, and their store
 RESETS_FREE = 2                # lost connections after which a request tries the same server again
@@ -57,27 +60,6 @@
 NEVER_NS = 10**15              # longer ago than any rule looks back
 
 
-def mix(value: int) -> int:
-    """A 64-bit hash that is the same in every process (splitmix64's finaliser)."""
-    value = (value + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
-    return value ^ (value >> 31)
-
-
-class Spread:
-    """Running mean and mean deviation of a time, as TCP's retransmission timer keeps them."""
-
-    def __init__(self, mean: float, gain: float = AVERAGE_GAIN) -> None:
-        self.mean, self.dev, self.seen, self.gain = mean, mean / 2, 0, gain
-
-    def add(self, x: float) -> None:
-        gain = max(self.gain, 1 / (self.seen + 1))
-        self.dev += gain * (abs(x - self.mean) - self.dev)
-        self.mean += gain * (x - self.mean)
-        self.seen += 1
-
-
 class Gate:
     """Sheds load early when answers come late: the requests with most sending time per worth first.
 
@@ -90,7 +72,7 @@
         self.grown_ns = self.heard_ns = 0  # last answer in time; last one that told of the cutoff as it is
         self.late, self.cut_ns = 0.0, 0    # recent share of late answers; last time the cutoff was lowered
         self.recent: deque[tuple[float, float]] = deque(maxlen=RECENT)
-        self.work, self.seen_ns, self.ceiling = 0.0, 0, math.inf  # offered of late, until when; what fits
+        self.work, self.ceiling = Faded(LOAD_NS), math.inf  # offered of late; what fits
         self.link, self.link_ns = 0.0, 0   # transfers on the location's link over those that fit; when told
 
     def told(self, late: bool, start_ns: int, now: int, spare: bool = False) -> None:
@@ -113,15 +95,14 @@
         if self.cutoff < GATE_OPEN and now - max(self.heard_ns, self.cut_ns) > SECOND_NS:
             # Requests of one price may all be shut out at the least cutoff: no answer would open it.
             self.cutoff, self.heard_ns = min(GATE_OPEN, self.cutoff * GATE_SECOND), now
-        self.work = self.work * math.exp((self.seen_ns - now) / LOAD_NS) + work
-        self.seen_ns = now
+        self.work.add(now, work)
         self.scale.add(price)
         self.recent.append((price, work))
 
     def bound(self, room: float) -> None:
         """Where capacity is told: let in the cheapest that fit into its room (sending time a second, ours),
         at once when servers go, before any answer is late."""
-        left = room * LOAD_NS / self.work if self.work else math.inf
+        left = room * LOAD_NS / self.work.total if self.work.total else math.inf
         self.ceiling = math.inf
         if left < 1:
             left *= sum(work for _, work in self.recent)
@@ -131,11 +112,15 @@
                     self.ceiling = price
                     break
 
+    def over(self, now: int) -> float:
+        """How many times what fits is on the link beyond what fits, as last told; below 0 there is room."""
+        return self.link - 1 if now - self.link_ns < LINK_NS else -1.0
+
     def admits(self, price: float, now: int = 0) -> bool:
         """Whether a request of this sending time per worth is taken.  A link that is told to be over-full
         counts at once: what all routers of a zone put on it runs on though its clients have left, so it jams
         for good before any one of them has seen enough late answers."""
-        over = self.link - 1 if now - self.link_ns < LINK_NS else 0.0
+        over = self.over(now)
         cutoff = self.cutoff if over <= 0 else min(self.cutoff, GATE_OPEN * math.exp(-LINK_FALL * over))
         return price <= self.ceiling and (cutoff >= GATE_OPEN or price <= self.scale.mean * cutoff)
 
@@ -190,10 +175,11 @@
         self.full_ns = 0                   # turned us away; asked last until then
         self.held = 0                      # our attempts at it that are out
         self.fills = 0                     # fills we asked it for as a parent
-        self.first = Spread(0.0)           # its time to first byte on misses
+        self.first = Spread(0.0, NODE_GAIN)  # log of its time to first byte on misses: large objects are rare
         self.slow = Spread(1.0, NODE_GAIN)  # its answer times over the objects' own sending times
-        self.window: deque[tuple[int, float]] = deque()  # sends of late: when, sending time
-        self.sent = 0.0                    # sum of the window's sending times
+        self.sent = Sliding()              # sending times sent there of late
+        self.given = Faded(LOAD_NS)        # sending times of its answers
+        self.busy, self.told_ns = 1.0, 0   # how busy it reports to be, and when it did
 
     def share(self, now: int, rules: api.Rules) -> float:
         """Its present share of its capacity, at the least: cold at the start, full in the stated time.
@@ -209,19 +195,10 @@
             return low
         return low + (1 - low) * max(0, now - self.born_ns) / span
 
-    def sends(self, now: int, work: float) -> None:
-        """One more goes there."""
-        self.window.append((now, work))
-        self.sent += work
-
-    def recent(self, since: int) -> float:
-        """Sending time sent there after a time, which only advances.  A kept sum: adding the window up for
-        each request of a zone with a cold cache took all of a busy router's CPU."""
-        while self.window and self.window[0][0] <= since:
-            self.sent -= self.window.popleft()[1]
-        if not self.window:
-            self.sent = 0.0
-        return self.sent
+    def spare(self, now: int) -> float:
+        """Sending time a second that it can give us at COLD_BUSY, by what it gave and how busy it was."""
+        given = self.given.now(now) / LOAD_NS if now - self.told_ns < LINK_NS else 0.0
+        return given * COLD_BUSY / max(self.busy, COLD_IDLE)
 
     def room(self, now: int, rules: api.Rules) -> float:
         """Transfers that it can carry now, by the list's weight."""
@@ -272,13 +249,14 @@
         self.held: dict[str, Held] = {}
         self.memory: OrderedDict[int, Memo] = OrderedDict()
         self.purges: dict[tuple[int | None, int], tuple[int, int]] = {}  # when, until when it matters
-        self.ratio = {c.name: Spread(1.0) for c in settings.classes}  # answer time over expected sending time
+        self.ratio = {c.name: Spread(1.0, AVERAGE_GAIN) for c in settings.classes}  # answer time over usual
         self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
         self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
         self.retries = RETRY_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
         self.ticking = False
+        self.usual_load: dict[Role, float] = {}  # of a warm server when one was last seen: see peer_load
         self.index()
         self.actions: list[Action] = []
         self.now = 0
@@ -414,6 +392,8 @@
         self.silence()
         for held in list(self.held.values()):
             if not held.done and not held.started and self.overdue(held):
+                for a in held.out.values() if not held.judged else ():
+                    self.slow_source(held, a)
                 self.judge(held, True, held.fills)
         for key in [k for k, (_, until) in self.purges.items() if until < self.now]:
             del self.purges[key]
@@ -535,7 +515,7 @@
         for cache in caches:
             for source in self.sources(held, cache):
                 return cache, source
-        if self.s.direct and not held.look:
+        if self.s.direct and (held.cls.uncacheable or not held.look and self.gates[True].over(self.now) < 0):
             # Exception: no cache of the zone can take it (all dead, cold or draining): straight to a parent
             # or the origin, so that a lost zone's clients are still served.
             for node in self.sources(held, None):
@@ -560,6 +540,8 @@
                 if self.trial_due(held, node) and self.admits(node, held, share):
                     late.append((node.rank(held.key, node.line.weight), node, 0.0))
                 continue
+            if held.look and share < 1:
+                continue                   # it would find nothing there, and counts against the cold budget
             weight = node.line.weight * share
             total_held, total_weight = total_held + node.held, total_weight + weight
             if self.admits(node, held, share):
@@ -607,10 +589,17 @@
         if not live:
             return trial
         heard = [n.first.mean for n in live if n.first.seen]
-        average = sum(heard) / len(heard) if heard else 1.0
-        score = {n.line.name: (n.first.mean if n.first.seen else average) / n.line.weight for n in live}
+        average = sum(heard) / len(heard) if heard else 0.0
+        score = {n.line.name: math.exp(n.first.mean if n.first.seen else average) / n.line.weight
+                 for n in live}
         best = min(score.values())
         near = [n for n in live if score[n.line.name] <= best * PARENT_MARGIN]
+        # Exception: parents that are all this much slower than the origin share fills with it.
+        for n in self.origins if not held.cls.uncacheable else ():
+            if (n.first.seen and not n.health.dead and n.line.name not in held.bad_sources
+                    and best > PARENT_MARGIN * math.exp(n.first.mean)):
+                score[n.line.name] = PARENT_MARGIN * math.exp(n.first.mean)
+                near.append(n)
         # Exception: in inverse proportion to the score, as all routers rank alike and the best fills up.
         first = max(near, key=lambda n: n.rank(
             held.key, n.share(self.now, self.s.rules) / score[n.line.name]))
@@ -623,7 +612,7 @@
             if node.health.dead:
                 node.health.tried(self.now)
             if node.line.role is not Role.ORIGIN:
-                node.sends(self.now, self.unit[held.cls.name].mean)
+                node.sent.add(self.now, self.unit[held.cls.name].mean)
         if source.line.role is Role.PARENT:
             source.fills += 1
         number = held.tries
@@ -674,7 +663,7 @@
         """Rule 4: whether a cold server's budget has room for one more, trials and refused ones counted."""
         rules = self.s.rules
         share = node.share(self.now, rules) if share is None else share
-        used = node.recent(self.now - rules.fall_ns)
+        used = node.sent.since(self.now - rules.fall_ns)
         if share >= 1:
             return True
         parent = node.line.role is Role.PARENT
@@ -682,23 +671,26 @@
         routers = self.s.instances if parent else self.s.zone_instances
         capacity = node.line.weight if self.s.weights != "off" else self.peer_load(node) * routers
         budget = COLD_SAFETY * multiple * share * capacity * rules.fall_ns / routers
+        budget = max(budget, node.spare(self.now) * rules.fall_ns)
         unit = self.unit[held.cls.name].mean
         if budget >= unit or not budget:
             return used + unit <= budget
         # Under one request: routers take turns, by a hash as the numbers of one zone may be a multiple
         # apart.  One span may touch two turns, and a hash may cluster, hence the 3.
         turns = math.ceil(3 * unit / budget)
-        return not node.window and (self.now // rules.fall_ns + mix(self.s.self_index)) % turns == 0
+        return not node.sent.items and (self.now // rules.fall_ns + mix(self.s.self_index)) % turns == 0
 
     def peer_load(self, node: Node) -> float:
         """Sending time a second that our traffic puts on a warm peer, on average: what one router sees is
         thin, so the busiest would be chance.  All together, a server can do one transfer at the least."""
         span = max(1, self.s.rules.fall_ns)
         peers = self.all_parents if node.line.role is Role.PARENT else self.caches_here
-        loads = [n.recent(self.now - span) / span for n in peers if n is not node
+        loads = [n.sent.since(self.now - span) / span for n in peers if n is not node
                  and n.share(self.now, self.s.rules) >= 1]
         routers = self.s.instances if node.line.role is Role.PARENT else self.s.zone_instances
-        return max(UNTOLD_ROOM * sum(loads) / len(loads) if loads else 0.0, 1 / routers)
+        if loads:
+            self.usual_load[node.line.role] = UNTOLD_ROOM * sum(loads) / len(loads)
+        return max(self.usual_load.get(node.line.role, 0.0), 1 / routers)
 
     def trial_due(self, held: Held, node: Node) -> bool:
         """A dead server gets one safe request now and then."""
@@ -747,11 +739,13 @@
         if held.fills and (e.note is not Note.NONE or e.outcome is Outcome.MISS):
             self.real = max(FILL_GAIN, self.real + FILL_GAIN * ((e.note is not Note.HIT) - self.real))
         filled = a.source is not a.node
-        if "x1" in e.report and a.node.line.role is Role.CACHE:
-            self.gates[True].link, self.gates[True].link_ns = e.report["x1"], now
+        if e.report and a.node.line.role is Role.CACHE:
+            self.reported(a.node, e.report)
         if e.outcome in (Outcome.OK, Outcome.FULL) and not a.trial:
             fill = held.fills if e.note is Note.NONE else e.note is not Note.HIT
             self.judge(held, e.outcome is Outcome.FULL or self.overdue(held), fill)
+        if filled and e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
+            self.slow_source(held, a)
         if e.outcome in (Outcome.OK, Outcome.TIMEOUT):
             slowness = e.took_ns / (self.expected(held) + 100 * MS)
             self.ratio[name].add(slowness)
@@ -762,6 +756,7 @@
         if e.outcome is Outcome.OK:
             self.revive(a.node)
             unit = self.expected(held)
+            a.node.given.add(now, unit)
             if self.sized(held):
                 self.unit[name].add(unit)
             elif e.note in (Note.NONE, Note.HIT):
@@ -776,7 +771,7 @@
                 for origin in self.origins if e.note is Note.FILLED_FROM_ORIGIN else ():
                     self.revive(origin)
                 # Past the first byte, what the transfer lost to a crowded link counts too: see parents.
-                a.source.first.add(max(e.first_byte_ns, e.took_ns - unit, MS))
+                a.source.first.add(math.log(max(e.first_byte_ns, e.took_ns - unit, MS)))
             return
         if e.outcome is Outcome.MISS:
             self.revive(a.node)
@@ -797,6 +792,14 @@
         elif e.note is Note.NONE and e.outcome is not Outcome.FULL:
             self.blame_silent(a, 1)
 
+    def reported(self, node: Node, report: dict[str, float]) -> None:
+        """A cache's load, which all routers share: one of them alone sees too little."""
+        node.busy, node.told_ns = report.get("utilization", 1.0), self.now
+        if "x1" in report:
+            self.gates[True].link, self.gates[True].link_ns = report["x1"], self.now
+        if report.get("x0", 1.0) < COLD_HITS and self.now - node.born_ns > self.s.rules.cold_ns:
+            node.born_ns = self.now        # as if it started now, whatever the list says
+
     def silence(self) -> None:
         """Guards against servers that take requests and answer none: an attempt well past its usual time, and
         nothing heard since.  One is enough, as a router may send here once in seconds and a false alarm costs
@@ -806,6 +809,12 @@
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
                     self.blame_silent(a, DEAD_STRIKES)
 
+    def slow_source(self, held: Held, a: Attempt) -> None:
+        """An answer that has not come tells as much as a late one, and in time: see parents."""
+        lost = self.now - a.sent_ns - self.expected(held)
+        if lost > 0 and a.source is not a.node and math.log(lost) > a.source.first.mean:
+            a.source.first.add(math.log(lost))
+
     def blame_silent(self, a: Attempt, strikes: int) -> None:
         """The cause is not told: whoever was heard since the send is not it."""
         node = a.node if a.node.health.heard_ns <= a.sent_ns else a.source
