Rank failed fills as late ones, let the origin share sooner, open cold zones faster

The other parent then sent 150 fills a second at several times its usual time while the origin's fills took 90 ms: it joined only at three times its own time (Policy.parents). The zone that came back, told cold, was sent one request in 2 s per cache: its routers had just started, so peer_load took each cache to be able to do one transfer, while 100 requests a half second went straight over the link (x1 up to 16). Ruled out there: the other zones' links (x1 0.2 to 0.7) and hits (20 ms).

A failed fill counts as one that takes its aim; scores not renewed near the average, so that what was left is tried again; the origin joins at twice its time; a zone without any warm cache is held to have been built for what its clients ask; a link's last report fades by a full link a second, in place of being forgotten after three. The gate opens to three mean prices, as cuts from six let all in at first.

--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -2,8 +2,7 @@
 
 The ordinary path (docs/design.md): a hash of the object picks the edge cache of the own zone; for a miss, a
 list of sources (sibling that holds it, quickest parent, backup parent, origin) is tried in turn; a server
-that fails is dead and gets only trials until one succeeds.  All else here is a guard round that path.
-"""
+that fails is dead and gets only trials until one succeeds.  All else here is a guard round that path."""
 
 from __future__ import annotations
 
@@ -19,30 +18,30 @@
 MS = 1_000_000
 SECOND_NS = 1_000 * MS
 TICK, RESUBSCRIBE = 0, 1       # labels of the timers
-RESUBSCRIBE_NS = SECOND_NS     # wait after a failed call to discovery, so that it is not jammed by us
-TICK_NS = 50 * MS              # how often silence, lateness and purge marks are looked at
+RESUBSCRIBE_NS, TICK_NS = SECOND_NS, 50 * MS  # after a failed call to discovery; between looks at what is out
 BOUND = 1.75                   # bounded load: a cache may hold this many times the zone's mean per weight ...
 BOUND_LEAST = 4.0              # ... but always this many of our requests, so that chance alone moves nothing
 PARENT_MARGIN = 3.0            # parents within this multiple of the best score share fills by object hash
+ORIGIN_MARGIN = 2.0            # the origin does so too where the best is this many times slower than it is
+SCORE_HALF_NS = 4 * SECOND_NS  # a score not renewed nears the average by half: so slow ones are tried again
 AVERAGE_GAIN = 0.1             # weight of a new sample in running averages: about the last ten
 SLOW_GAIN = 0.01               # the same for sending times, which vary widely
 NODE_GAIN = 0.3                # weight of a new sample in one cache's slowness, of which a router sees little
 SLOW_BAND, SLOW_LEAST = 2.0, 0.25  # a cache this much slower than the zone's best gets less, down to this
 UNTOLD_SLACK = 1.5             # an object of unknown size may well be this much larger than the mean
 BASE_RISE = 1.0005             # how fast the free-link sending time may rise an answer
-GATE_OPEN, GATE_LEAST = 6.0, 0.4  # limits of the shedding cutoff, in mean sending times per worth
+GATE_OPEN, GATE_LEAST = 3.0, 0.4  # limits of the shedding cutoff, in mean sending times per worth
 LATE_SHARE, LATE_GAIN = 0.25, 0.15  # recent share of late answers that lowers the cutoff; its averaging
 GATE_CUT, GATE_GROW = 0.45, 1.02  # what a cut and an answer in time multiply it by
 LINK_FALL = 1.35               # the cutoff for fills falls by e to so much for each full link over what fits
-LINK_NS = 3 * SECOND_NS        # a report of the link is believed so long
+LINK_NS = SECOND_NS            # one full link over what fits drains in this time, where nothing is told
 GATE_SECOND, GATE_SPARE = 1.25, 2.0  # at the least, a second with answers in time, or in a third of it
 LOAD_NS, RECENT = 4 * SECOND_NS, 64  # offered work fades in this time; requests kept to place the bound
 CACHE_ROOM, FILL_ROOM = 0.95, 1.0  # share of the told links that may be planned for
 FILL_GAIN = 0.05               # averaging of the share of presumed fills that are ones
 FULL_PAUSE_NS = 200 * MS       # a cache that turned us away is asked last for this long
 DEAD_STRIKES = 3               # blamed failures in a row that make a server dead; one lost connection does
-TRIAL_EVERY_NS = SECOND_NS     # until a dead server's first trial; the wait doubles ...
-TRIAL_MOST_NS = 8 * SECOND_NS  # ... up to this
+TRIAL_EVERY_NS, TRIAL_MOST_NS = SECOND_NS, 8 * SECOND_NS  # until a dead server's first trial, doubling to
 MEMORY_OBJECTS = 20_000        # objects remembered; beyond that the longest unused is forgotten
 HOLDER_NS = 10 * SECOND_NS     # a sibling's copy is believed in this long after an answer showed it
 REUSE_HALF_NS = 15 * SECOND_NS  # an object's request count halves in this time
@@ -61,11 +60,9 @@
 
 
 class Gate:
-    """Sheds load early when answers come late: the requests with most sending time per worth first.
-
-    Guards against the jam in which all are served late and retried; it holds for any cause (too many
-    requests, too few servers, a full link), and hurts where few large requests were the only late ones.
-    """
+    """Sheds load early when answers come late: the requests with most sending time per worth first.  Guards
+    against the jam in which all are served late and retried; it holds for any cause (too many requests, too
+    few servers, a full link), and hurts where few large requests were the only late ones."""
 
     def __init__(self) -> None:
         self.cutoff, self.scale = GATE_OPEN, Spread(0.0, SLOW_GAIN)
@@ -114,12 +111,11 @@
 
     def over(self, now: int) -> float:
         """How many times what fits is on the link beyond what fits, as last told; below 0 there is room."""
-        return self.link - 1 if now - self.link_ns < LINK_NS else -1.0
+        return self.link - 1 - (now - self.link_ns) / LINK_NS
 
     def admits(self, price: float, now: int = 0) -> bool:
-        """Whether a request of this sending time per worth is taken.  A link that is told to be over-full
-        counts at once: what all routers of a zone put on it runs on though its clients have left, so it jams
-        for good before any one of them has seen enough late answers."""
+        """Whether a request of this sending time per worth is taken.  An over-full link counts at once: its
+        fills run on when clients have left, so it jams before any one router has seen enough late answers."""
         over = self.over(now)
         cutoff = self.cutoff if over <= 0 else min(self.cutoff, GATE_OPEN * math.exp(-LINK_FALL * over))
         return price <= self.ceiling and (cutoff >= GATE_OPEN or price <= self.scale.mean * cutoff)
@@ -140,8 +136,7 @@
 
     def __init__(self) -> None:
         self.strikes, self.dead, self.heard_ns, self.trial_ns = 0.0, False, 0, 0
-        self.pause_ns = TRIAL_EVERY_NS     # until its next trial
-        self.lost = False      # failed as a stopped process does, so it comes back cold
+        self.pause_ns, self.lost = TRIAL_EVERY_NS, False  # until its next trial; as a stopped process is
 
     def good(self, now: int) -> bool:
         """A success; True if it brought the server back."""
@@ -175,30 +170,35 @@
         self.full_ns = 0                   # turned us away; asked last until then
         self.held = 0                      # our attempts at it that are out
         self.fills = 0                     # fills we asked it for as a parent
-        self.first = Spread(0.0, NODE_GAIN)  # log of its time to first byte on misses: large objects are rare
+        self.first, self.first_ns = Spread(0.0, NODE_GAIN), 0  # log of its time to first byte; when told
         self.slow = Spread(1.0, NODE_GAIN)  # its answer times over the objects' own sending times
         self.sent = Sliding()              # sending times sent there of late
         self.given = Faded(LOAD_NS)        # sending times of its answers
-        self.busy, self.told_ns = 1.0, 0   # how busy it reports to be, and when it did
+        self.busy = 1.0                    # how busy it reports to be
 
     def share(self, now: int, rules: api.Rules) -> float:
-        """Its present share of its capacity, at the least: cold at the start, full in the stated time.
-
-        A dead server may come back cold before anything tells: all routers' trials must not topple it.
-        """
+        """Its present share of its capacity, at the least: cold at the start, full in the stated time.  One
+        that is dead may come back cold before anything tells: all routers' trials must not topple it."""
         role = self.line.role
         low, span = ((rules.parent_cold_from, rules.parent_cold_ns) if role is Role.PARENT
                      else (rules.cold_from, rules.cold_ns))
         if role is Role.ORIGIN or not (self.health.dead or now - self.born_ns < span):
             return 1.0
-        if self.health.dead:
-            return low
-        return low + (1 - low) * max(0, now - self.born_ns) / span
+        return low if self.health.dead else low + (1 - low) * max(0, now - self.born_ns) / span
 
     def spare(self, now: int) -> float:
         """Sending time a second that it can give us at COLD_BUSY, by what it gave and how busy it was."""
-        given = self.given.now(now) / LOAD_NS if now - self.told_ns < LINK_NS else 0.0
-        return given * COLD_BUSY / max(self.busy, COLD_IDLE)
+        return self.given.now(now) / LOAD_NS * COLD_BUSY / max(self.busy, COLD_IDLE)
+
+    def score(self, now: int, average: float) -> float:
+        """Its time to first byte over its weight; one not heard from for long counts as average."""
+        kept = 0.5 ** ((now - self.first_ns) / SCORE_HALF_NS) if self.first.seen else 0.0
+        return math.exp(average + kept * (self.first.mean - average)) / self.line.weight
+
+    def waited(self, now: int, time_ns: float) -> None:
+        """One sample of that time."""
+        self.first.add(math.log(max(time_ns, MS)))
+        self.first_ns = now
 
     def room(self, now: int, rules: api.Rules) -> float:
         """Transfers that it can carry now, by the list's weight."""
@@ -219,6 +219,10 @@
     sent_ns: int
     trial: bool = False
 
+    def far(self) -> Node:
+        """Who fills it: the source, or the parent or origin that was asked straight."""
+        return self.source if self.node.line.role is Role.CACHE else self.node
+
 
 class Held:
     """A request that still owes its answer, or whose attempts are still out."""
@@ -256,7 +260,6 @@
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
         self.ticking = False
-        self.usual_load: dict[Role, float] = {}  # of a warm server when one was last seen: see peer_load
         self.index()
         self.actions: list[Action] = []
         self.now = 0
@@ -516,8 +519,7 @@
             for source in self.sources(held, cache):
                 return cache, source
         if self.s.direct and (held.cls.uncacheable or not held.look and self.gates[True].over(self.now) < 0):
-            # Exception: no cache of the zone can take it (all dead, cold or draining): straight to a parent
-            # or the origin, so that a lost zone's clients are still served.
+            # Exception: no cache of the zone can take it: straight to a parent or the origin.
             for node in self.sources(held, None):
                 if self.may_send(held, node):
                     return node, self.origins[0] if self.origins else node
@@ -540,8 +542,8 @@
                 if self.trial_due(held, node) and self.admits(node, held, share):
                     late.append((node.rank(held.key, node.line.weight), node, 0.0))
                 continue
-            if held.look and share < 1:
-                continue                   # it would find nothing there, and counts against the cold budget
+            if held.look and share < 1:    # it would find nothing, and counts against the cold budget
+                continue
             weight = node.line.weight * share
             total_held, total_weight = total_held + node.held, total_weight + weight
             if self.admits(node, held, share):
@@ -588,18 +590,15 @@
         live = [n for n in ok if not n.health.dead and self.admits(n, held)]
         if not live:
             return trial
-        heard = [n.first.mean for n in live if n.first.seen]
+        origins = [n for n in self.origins if n.first.seen and not n.health.dead
+                   and n.line.name not in held.bad_sources and not held.cls.uncacheable]
+        heard = [n.first.mean for n in [*live, *origins] if n.first.seen]
         average = sum(heard) / len(heard) if heard else 0.0
-        score = {n.line.name: math.exp(n.first.mean if n.first.seen else average) / n.line.weight
-                 for n in live}
-        best = min(score.values())
+        score = {n.line.name: n.score(self.now, average) for n in [*live, *origins]}
+        best = min(score[n.line.name] for n in live)
         near = [n for n in live if score[n.line.name] <= best * PARENT_MARGIN]
-        # Exception: parents that are all this much slower than the origin share fills with it.
-        for n in self.origins if not held.cls.uncacheable else ():
-            if (n.first.seen and not n.health.dead and n.line.name not in held.bad_sources
-                    and best > PARENT_MARGIN * math.exp(n.first.mean)):
-                score[n.line.name] = PARENT_MARGIN * math.exp(n.first.mean)
-                near.append(n)
+        # Exception: parents that are all much slower than the origin share fills with it.
+        near += [n for n in origins if score[n.line.name] * ORIGIN_MARGIN < best]
         # Exception: in inverse proportion to the score, as all routers rank alike and the best fills up.
         first = max(near, key=lambda n: n.rank(
             held.key, n.share(self.now, self.s.rules) / score[n.line.name]))
@@ -647,11 +646,9 @@
                                            else node.line.cell == ran.cell)
 
     def age_limit(self, held: Held) -> int:
-        """Rule 5: while old copies may be about, only copies younger than the purge will do (never 0).
-
-        The limit outlives purge_done_ns: a copy that left the origin just before the purge and arrived after
-        the servers' own sweep was served 6 s later.  It costs nothing, as only older copies fail it.
-        """
+        """Rule 5: while old copies may be about, only copies younger than the purge will do (never 0).  The
+        limit outlives purge_done_ns: a copy that left the origin just before the purge and arrived after the
+        servers' own sweep was served 6 s later.  It costs nothing, as only older copies fail it."""
         purged = max(self.purges.get((held.request.object, 0), (0, 0))[0],
                      self.purges.get((None, held.request.group), (0, 0))[0])
         if not purged:
@@ -681,16 +678,17 @@
         return not node.sent.items and (self.now // rules.fall_ns + mix(self.s.self_index)) % turns == 0
 
     def peer_load(self, node: Node) -> float:
-        """Sending time a second that our traffic puts on a warm peer, on average: what one router sees is
-        thin, so the busiest would be chance.  All together, a server can do one transfer at the least."""
+        """Sending time a second that our traffic puts on a warm peer, on average, as the busiest would be
+        chance.  All together, a server can do one transfer at the least."""
         span = max(1, self.s.rules.fall_ns)
         peers = self.all_parents if node.line.role is Role.PARENT else self.caches_here
         loads = [n.sent.since(self.now - span) / span for n in peers if n is not node
                  and n.share(self.now, self.s.rules) >= 1]
         routers = self.s.instances if node.line.role is Role.PARENT else self.s.zone_instances
-        if loads:
-            self.usual_load[node.line.role] = UNTOLD_ROOM * sum(loads) / len(loads)
-        return max(self.usual_load.get(node.line.role, 0.0), 1 / routers)
+        if not loads and node.line.role is Role.CACHE:
+            # All are cold: the zone was built for what its clients ask.
+            loads = [self.gates[False].work.now(self.now) / LOAD_NS / len(self.caches_here)]
+        return max(UNTOLD_ROOM * sum(loads) / len(loads) if loads else 0.0, 1 / routers)
 
     def trial_due(self, held: Held, node: Node) -> bool:
         """A dead server gets one safe request now and then."""
@@ -729,8 +727,7 @@
     def judge(self, held: Held, late: bool, fill: bool) -> None:
         """Tell the gate once of each request, as soon as it is late: in a jam the quick come first."""
         if not held.judged:
-            held.judged = True
-            spare = 3 * (self.now - held.start_ns) < self.aim(held)
+            held.judged, spare = True, 3 * (self.now - held.start_ns) < self.aim(held)
             self.gates[fill].told(late, held.start_ns, self.now, spare)
 
     def learn(self, held: Held, a: Attempt, e: api.AttemptEnded) -> None:
@@ -738,14 +735,17 @@
         now, name = self.now, held.cls.name
         if held.fills and (e.note is not Note.NONE or e.outcome is Outcome.MISS):
             self.real = max(FILL_GAIN, self.real + FILL_GAIN * ((e.note is not Note.HIT) - self.real))
-        filled = a.source is not a.node
+        filled, far = a.source is not a.node, a.far()
         if e.report and a.node.line.role is Role.CACHE:
             self.reported(a.node, e.report)
         if e.outcome in (Outcome.OK, Outcome.FULL) and not a.trial:
             fill = held.fills if e.note is Note.NONE else e.note is not Note.HIT
             self.judge(held, e.outcome is Outcome.FULL or self.overdue(held), fill)
-        if filled and e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
+        if e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
             self.slow_source(held, a)
+        elif e.note in (Note.SOURCE_BROKE, Note.SOURCE_REFUSED) or (
+                far is a.node and e.outcome in (Outcome.ERROR, Outcome.FULL)):
+            far.waited(now, self.aim(held))  # costs what a late answer costs, however quick it is
         if e.outcome in (Outcome.OK, Outcome.TIMEOUT):
             slowness = e.took_ns / (self.expected(held) + 100 * MS)
             self.ratio[name].add(slowness)
@@ -771,7 +771,7 @@
                 for origin in self.origins if e.note is Note.FILLED_FROM_ORIGIN else ():
                     self.revive(origin)
                 # Past the first byte, what the transfer lost to a crowded link counts too: see parents.
-                a.source.first.add(math.log(max(e.first_byte_ns, e.took_ns - unit, MS)))
+                far.waited(now, max(e.first_byte_ns, e.took_ns - unit))
             return
         if e.outcome is Outcome.MISS:
             self.revive(a.node)
@@ -794,7 +794,7 @@
 
     def reported(self, node: Node, report: dict[str, float]) -> None:
         """A cache's load, which all routers share: one of them alone sees too little."""
-        node.busy, node.told_ns = report.get("utilization", 1.0), self.now
+        node.busy = report.get("utilization", 1.0)
         if "x1" in report:
             self.gates[True].link, self.gates[True].link_ns = report["x1"], self.now
         if report.get("x0", 1.0) < COLD_HITS and self.now - node.born_ns > self.s.rules.cold_ns:
@@ -811,9 +811,9 @@
 
     def slow_source(self, held: Held, a: Attempt) -> None:
         """An answer that has not come tells as much as a late one, and in time: see parents."""
-        lost = self.now - a.sent_ns - self.expected(held)
-        if lost > 0 and a.source is not a.node and math.log(lost) > a.source.first.mean:
-            a.source.first.add(math.log(lost))
+        lost, far = self.now - a.sent_ns - self.expected(held), a.far()
+        if lost > 0 and far.line.role is not Role.CACHE and math.log(lost) > far.first.mean:
+            far.waited(self.now, lost)
 
     def blame_silent(self, a: Attempt, strikes: int) -> None:
         """The cause is not told: whoever was heard since the send is not it."""
