--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -144,6 +144,38 @@
         self.assertGreater(again.count("p0"), 0, "tried again now and then: it may have been mended")
 
 
+class UnequalCaches(unittest.TestCase):
+    """Small caches reported to be 105% busy beside large or cold ones at 10 to 30%: weights are not told, so
+    the hash gave each the same, and a router's own answer times are too few to tell."""
+
+    def test_objects_go_where_less_load_is_reported(self) -> None:
+        random = Random(5)
+        capacity = {"c0": 7.0, "c1": 7.0, "c2": 15.0, "c3": 15.0}
+        sends: dict[str, list[int]] = {name: [] for name in capacity}
+
+        def reply(now: int, f: api.Fetch) -> Reply | None:
+            if f.cache not in sends:
+                return 250 * MS, Outcome.OK, Note.FILLED, {}
+            sends[f.cache].append(now)
+            lately = sum(now - 1300 * MS < at <= now - 300 * MS for at in sends[f.cache][-200:]) * 0.25
+            busy = round(lately / capacity[f.cache], 3)
+            return 250 * MS, Outcome.OK, Note.HIT, {"utilization": busy, "x0": 0.7, "x1": 0.3}
+
+        fleet = Fleet([policy([replace(x, weight=1.0) for x in servers()], weights="off", pace_kb_per_s=0.0,
+                              instances=40, zone_instances=8, self_index=n) for n in range(8)], reply)
+        fleet.ask(2 * S, 20 * S, 100 * MS, random, 300)
+        fleet.run(24 * S)
+        late = {name: sum(at > 12 * S for at in found) / capacity[name] for name, found in sends.items()}
+        self.assertLess(max(late.values()) / min(late.values()), 1.7, late)
+        homes: dict[int, set[str]] = {}
+        for n, router in enumerate(fleet.routers):
+            for item in range(100):
+                (f,) = fetches(ask(router, 25 * S, f"home{n}-{item}", item))
+                homes.setdefault(item, set()).add(f.cache)
+        alike = sum(len(found) == 1 for found in homes.values())
+        self.assertGreater(alike, 50, "the routers go by the same reports, so most objects have one home")
+
+
 class ColdZone(unittest.TestCase):
     """A whole zone came back cold, its routers restarted with it.  None had a warm cache to compare with, so
     each cache was held to be able to do one transfer, and stood idle while its clients were refused."""
--- a/zincgrade/estimate.py
+++ b/zincgrade/estimate.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 
 
 def mix(value: int) -> int:
@@ -14,6 +15,24 @@
     return value ^ (value >> 31)
 
 
+def rendezvous(key: int) -> float:
+    """A number for a key, above 0, such that of several keys each is the largest as often as its weight says,
+    when each number is multiplied by its weight."""
+    return -1 / math.log((mix(key) + 1) / 18446744073709551617)
+
+
+def fitting(items: Iterable[tuple[float, float]], share: float) -> float:
+    """Of pairs of price and work, the price up to which the cheapest make up a share of all work; infinity
+    where all fit."""
+    items = sorted(items)
+    left = share * sum(work for _, work in items)
+    for price, work in items:
+        left -= work
+        if left < 0:
+            return price
+    return math.inf
+
+
 class Spread:
     """Running mean and mean deviation of a quantity, as TCP's retransmission timer keeps them.  A new sample
     weighs ``gain``, or more while there are few."""
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -12,7 +12,7 @@
 from hashlib import blake2b
 
 from zincgrade import interface as api
-from zincgrade.estimate import Faded, Sliding, Spread, mix
+from zincgrade.estimate import Faded, Sliding, Spread, fitting, mix, rendezvous
 from zincgrade.interface import Action, Effect, Note, Outcome, Role
 
 MS = 1_000_000
@@ -26,6 +26,7 @@
 SCORE_HALF_NS = 4 * SECOND_NS  # a score not renewed nears the average by half: so slow ones are tried again
 AVERAGE_GAIN = 0.1             # weight of a new sample in running averages: about the last ten
 SLOW_GAIN = 0.01               # the same for sending times, which vary widely
+LOAD_GAIN, LOAD_LEAST, LEAN_MOST = 0.2, 0.1, 4.0  # the same for reports of load; how far they move objects
 NODE_GAIN = 0.3                # weight of a new sample in one cache's slowness, of which a router sees little
 SLOW_BAND, SLOW_LEAST = 2.0, 0.25  # a cache this much slower than the zone's best gets less, down to this
 UNTOLD_SLACK = 1.5             # an object of unknown size may well be this much larger than the mean
@@ -100,14 +101,7 @@
         """Where capacity is told: let in the cheapest that fit into its room (sending time a second, ours),
         at once when servers go, before any answer is late."""
         left = room * LOAD_NS / self.work.total if self.work.total else math.inf
-        self.ceiling = math.inf
-        if left < 1:
-            left *= sum(work for _, work in self.recent)
-            for price, work in sorted(self.recent):
-                left -= work
-                if left < 0:
-                    self.ceiling = price
-                    break
+        self.ceiling = fitting(self.recent, left) if left < 1 else math.inf
 
     def over(self, now: int) -> float:
         """How many times what fits is on the link beyond what fits, as last told; below 0 there is room."""
@@ -174,7 +168,7 @@
         self.slow = Spread(1.0, NODE_GAIN)  # its answer times over the objects' own sending times
         self.sent = Sliding()              # sending times sent there of late
         self.given = Faded(LOAD_NS)        # sending times of its answers
-        self.busy = 1.0                    # how busy it reports to be
+        self.busy, self.load = 1.0, Spread(1.0, LOAD_GAIN)  # how busy it reports to be; the same over a while
 
     def share(self, now: int, rules: api.Rules) -> float:
         """Its present share of its capacity, at the least: cold at the start, full in the stated time.  One
@@ -190,6 +184,12 @@
         """Sending time a second that it can give us at COLD_BUSY, by what it gave and how busy it was."""
         return self.given.now(now) / LOAD_NS * COLD_BUSY / max(self.busy, COLD_IDLE)
 
+    def lean(self, even: float) -> float:
+        """How much more it gets, as it reports to be less busy than the zone's mean: a hash alone gives small
+        and large, warm and cold the same."""
+        lean = (max(even, LOAD_LEAST) / max(self.load.mean, LOAD_LEAST)) ** 2 if self.load.seen else 1.0
+        return min(LEAN_MOST, max(1 / LEAN_MOST, lean))
+
     def score(self, now: int, average: float) -> float:
         """Its time to first byte over its weight; one not heard from for long counts as average."""
         kept = 0.5 ** ((now - self.first_ns) / SCORE_HALF_NS) if self.first.seen else 0.0
@@ -206,8 +206,7 @@
 
     def rank(self, key: int, weight: float) -> float:
         """Weighted rendezvous score of an object here."""
-        u = (mix(key ^ self.seed) + 1) / 18446744073709551617
-        return -weight / math.log(u)
+        return weight * rendezvous(key ^ self.seed)
 
 
 @dataclass(slots=True)
@@ -259,10 +258,9 @@
         self.retries = RETRY_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
-        self.ticking = False
+        self.ticking, self.now = False, 0
         self.index()
         self.actions: list[Action] = []
-        self.now = 0
 
     # Events -----------------------------------------------------------------------------------------------
 
@@ -533,6 +531,8 @@
         """Caches of the zone for an object in the order to try: hash order, bounded by load."""
         live, late = [], []
         total_held, total_weight = 0, 0.0
+        loads = [n.load.mean for n in self.caches_here if n.load.seen]
+        even = sum(loads) / len(loads) if loads else 1.0
         quick = SLOW_BAND * min((n.slow.mean for n in self.caches_here), default=1.0)
         for node in self.caches_here:
             if node.line.name in held.bad_caches or not self.may_send(held, node):
@@ -544,7 +544,7 @@
                 continue
             if held.look and share < 1:    # it would find nothing, and counts against the cold budget
                 continue
-            weight = node.line.weight * share
+            weight = node.line.weight * share * node.lean(even)
             total_held, total_weight = total_held + node.held, total_weight + weight
             if self.admits(node, held, share):
                 # Exception: one slower than its peers (hot object, ageing) loses part of its share.
@@ -794,16 +794,17 @@
 
     def reported(self, node: Node, report: dict[str, float]) -> None:
         """A cache's load, which all routers share: one of them alone sees too little."""
-        node.busy = report.get("utilization", 1.0)
+        if report.get("utilization", 1.0) != node.busy:
+            node.busy = report["utilization"]
+            node.load.add(node.busy)
         if "x1" in report:
             self.gates[True].link, self.gates[True].link_ns = report["x1"], self.now
         if report.get("x0", 1.0) < COLD_HITS and self.now - node.born_ns > self.s.rules.cold_ns:
             node.born_ns = self.now        # as if it started now, whatever the list says
 
     def silence(self) -> None:
-        """Guards against servers that take requests and answer none: an attempt well past its usual time, and
-        nothing heard since.  One is enough, as a router may send here once in seconds and a false alarm costs
-        a second without the server; the attempt goes on.  Also covers a cut link and a frozen process."""
+        """Guards against servers that answer nothing: an attempt well past its usual time, and nothing heard
+        since.  One is enough, as a router may send here once in seconds; the attempt goes on."""
         for held in self.held.values():
             for a in held.out.values():
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
