--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -2,10 +2,10 @@
 
     python tools/compile.py && python -m benchmarks.fleet_cost [COPY]
 
-Runs the compiled copy where there is one, or COPY, a folder with another compiled state of the program, whose
-figures can then be set beside these.  All caches stand in the router's own zone, which is the dearest case.  Sizes
-take turns in rounds; ratios are to 20+3 within the same round, medians are printed.  Memory is that of a process of
-its own.
+Runs the compiled copy where there is one, or COPY, a folder with another compiled state of the program,
+whose figures can then be set beside these. All caches stand in the router's own zone, which is the
+dearest case. Sizes take turns in rounds; ratios are to 20+3 within the same round, medians are printed.
+Memory is that of a process of its own.
 """
 
 from __future__ import annotations
@@ -143,10 +143,10 @@
             for name, work in (("request", one.request), ("list event", one.change), ("tick", one.tick)):
                 found.setdefault((size, name), []).append(cost(work, BATCH))
     copy = [str(COPY)] if COPY.is_dir() else []
-    held = {size: int(subprocess.run(
-        [sys.executable, "-m", "benchmarks.fleet_cost", *copy, "--memory", *map(str, size)],
-        cwd=ROOT, capture_output=True, text=True, check=True).stdout) for size in SIZES}
-    print(f"{COPY if COPY.is_dir() else 'plain'}, {ROUNDS} rounds of {BATCH}; us of CPU, and the ratio to 20+3")
+    command = [sys.executable, "-m", "benchmarks.fleet_cost", *copy, "--memory"]
+    held = {size: int(subprocess.run([*command, *map(str, size)], cwd=ROOT, capture_output=True, text=True,
+                                     check=True).stdout) for size in SIZES}
+    print(f"{copy[0] if copy else 'plain'}, {ROUNDS} rounds of {BATCH}; us of CPU, ratio to 20+3")
     for size in SIZES:
         cells = []
         for name in ("request", "list event", "tick"):
--- a/tools/fleet_counts.py
+++ b/tools/fleet_counts.py
@@ -2,10 +2,11 @@
 
     python tools/fleet_counts.py LOGS [--from S] [--to S] [--zone NAME] [--servers]
 
-LOGS is a folder of ``*.log`` files, one a router.  A line counts where it holds a JSON object with ``event``;
-what stands before the object is skipped.  Times are seconds from the first event.  By second it prints
-requests taken, sends, dials, lost connections and final answers, and ends of attempts by source, outcome and note.
-``--servers`` prints for each server instead what it reported: answers, busy, hits, link.
+LOGS is a folder of ``*.log`` files, one a router. A line counts where it holds a JSON object with
+``event``; what stands before the object is skipped. Times are seconds from the first event. By second it
+prints requests taken, sends, dials, lost connections and final answers, and ends of attempts by source,
+outcome and note. ``--servers`` prints for each server instead what it reported: answers, busy, hits,
+link.
 Exit codes: 0 good, 1 nothing to count, 2 used wrongly.
 """
 
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -550,13 +550,12 @@
                 # Exception: one slower than its peers (hot object, ageing) loses part of its share.
                 ease = min(1.0, max(SLOW_LEAST, quick / max(node.slow.mean, 1e-9)))
                 live.append((node.rank(held.key, weight * ease), node, weight))
-        live.sort(key=lambda x: (-x[0], x[1].line.name))
         bound = BOUND * (total_held + 1) / total_weight if total_weight else 0.0
-        order = [n for _, n, w in live if n.held < max(BOUND_LEAST, bound * w) and self.now >= n.full_ns]
-        order += [n for _, n, w in live if n not in order]
+        live.sort(key=lambda x: (x[1].held >= max(BOUND_LEAST, bound * x[2]) or self.now < x[1].full_ns,
+                                 -x[0], x[1].line.name))
         # A dead cache's trial is the request that the hash would give it anyway.
-        trials = [n for r, n, _ in late if not live or r > live[0][0]]
-        return trials[:1] + order
+        best = max((r for r, _, _ in live), default=0.0)
+        return [n for r, n, _ in late if r > best][:1] + [n for _, n, _ in live]
 
     def sources(self, held: Held, cache: Node | None) -> list[Node]:
         """Where a miss is filled from, in the order to try (Squid guide, 10.10)."""
