Leave out list events that cannot be used, name them, and hear those behind them

One event that could not be read made news_of refuse the whole answer; the poll was lost and asked for again with the same number, without end, so drains and purges behind it were never heard. An event that names an id twice, an unknown state, or a zone or kind that the settings do not have was taken. Now each changes nothing and gets a limited line (feed.refused) with its field, and its number where it has one. A start list with such an event is still refused. Shown by tests on the reducer in virtual time; numbers that go back are not refused yet.

--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -109,6 +109,8 @@
     lim = table("settings.limits", options.get("limits", {}))
     try:
         known = news_of(table("known", raw.get("known")))
+        if known.faults:
+            raise FeedError(known.faults[0])
     except FeedError as error:
         raise ConfigError(f"known: {error}") from error
     name = environ.get("ROUTER_NAME") or raw.get("name")
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -32,9 +32,15 @@
 
     def on_news(self, news: m.News) -> None:
         """Events of the feed, in their order; then the next poll at once, as the feed counts as heard."""
+        for why in news.faults:
+            self.state.log("feed.refused", f"feed: not used: {why}", "warning", {"why": why})
         for event in news.events:
             if isinstance(event, m.Members):
-                self.on_members(event)
+                why = self.foreign(event)
+                if why:
+                    self.state.log("feed.refused", f"feed: not used: {why}", "warning", {"why": why})
+                else:
+                    self.on_members(event)
             else:
                 self.state.tally["purges"] += 1
                 ago = max(0, self.state.now - event.at_ns)
@@ -44,6 +50,16 @@
         self.seen = news.last
         self.state.effects.append(m.Poll(self.seen))
 
+    def foreign(self, members: m.Members) -> str:
+        """What in a list event the settings do not know, or "".  Such an event changes nothing."""
+        zones, kinds = self.state.config.settings.zones, self.state.config.kinds.names
+        for e in members.endpoints:
+            if e.zone not in zones:
+                return f"zone: {e.zone!r} of {e.name} is not one of {', '.join(zones)}"
+            if kinds and e.kind not in kinds:
+                return f"type: {e.kind!r} of {e.name} is not one of {', '.join(sorted(kinds))}"
+        return ""
+
     def on_members(self, members: m.Members) -> None:
         form = "update" if self.listed and not members.whole else "replace" if self.listed else "restored"
         if form == "replace":
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -140,6 +140,7 @@
 
     last: int
     events: tuple[Members | Purge, ...]
+    faults: tuple[str, ...] = ()   # events that could not be used, each with its number and field
 
 
 @message
--- a/kelpcroft/net/feed.py
+++ b/kelpcroft/net/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
 import httptools
@@ -29,6 +30,8 @@
     state = line["status"]
     if state not in STATES:
         raise FeedError(f"status: {state!r} is not one of {', '.join(STATES)}")
+    if int(line.get("since_ms") or 0) < 0 or float(line.get("weight") or 1) < 0:
+        raise FeedError("since_ms or weight: is under 0")
     host, colon, port = str(line["address"]).rpartition(":")
     if not host or not colon or not port.isdigit():
         raise FeedError(f"address: {line['address']!r} is not host:port")
@@ -43,7 +46,11 @@
     """One event; None for a kind that is not known here."""
     if "members" in raw:
         members = raw["members"]
-        return Members(bool(members.get("snapshot")), tuple(map(endpoint_of, members["endpoints"])))
+        endpoints = tuple(map(endpoint_of, members["endpoints"]))
+        twice = [name for name, count in Counter(e.name for e in endpoints).items() if count > 1]
+        if twice:
+            raise FeedError(f"endpoints: {twice[0]!r} is named twice")
+        return Members(bool(members.get("snapshot")), endpoints)
     if "purge" in raw:
         purge = raw["purge"]
         key = purge.get("key")
@@ -53,14 +60,24 @@
 
 
 def news_of(raw: Any) -> News:
-    """The feed's answer, or ``known`` of the configuration."""
+    """The feed's answer, or ``known`` of the configuration.  What cannot be used is left out whole and
+    named in ``faults``, as an event behind it may tell of a drain.  FeedError where there is no answer."""
+    events, faults = [], []
     try:
-        events = tuple(x for x in map(event_of, raw["events"]) if x is not None)
-        return News(int(raw["n"]), events)
-    except FeedError:
-        raise
+        last, found = int(raw["n"]), list(raw["events"])
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise FeedError(f"{type(error).__name__}: {error}") from error
+    for one in found:
+        try:
+            event = event_of(one)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            number = one.get("n") if isinstance(one, dict) else None
+            why = str(error) if isinstance(error, FeedError) else f"{type(error).__name__}: {error}"
+            faults.append(f"event {number}: {why}")
+            continue
+        if event is not None:
+            events.append(event)
+    return News(last, tuple(events), tuple(faults))
 
 
 class FeedCodec:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -10,6 +10,8 @@
 
 from kit import MS, S, ask, fetches, policy, servers
 
+from kelpcroft.net.feed import FeedError, news_of
+from kelplab.virtual import EXAMPLE, Virtual
 from zincgrade import interface as api
 from zincgrade.interface import Note, Outcome
 from zincgrade.policy import Policy
@@ -284,5 +286,41 @@
         self.assertIsInstance(a, api.Refuse)
 
 
+class BadListEvents(unittest.TestCase):
+    """One event that could not be read failed its whole poll, which was asked for again without end: what
+    stood behind it, drains and purges, was never heard."""
+
+    LINE = {"name": "c9", "address": "127.0.0.1:9", "zone": "a", "type": "small", "status": "active"}
+    BAD = (
+        ({"members": {"endpoints": [{**LINE, "status": "asleep"}]}}, "status"),
+        ({"members": {"endpoints": [LINE, LINE]}}, "named twice"),
+        ({"members": {"endpoints": [{**LINE, "address": "nowhere"}]}}, "address"),
+        ({"members": {"endpoints": [{**LINE, "since_ms": -5}]}}, "since_ms"),
+        ({"members": {"endpoints": [{"name": "c9"}]}}, "status"),
+        ({"members": {"endpoints": [{**LINE, "zone": "elsewhere"}]}}, "zone"),
+        ({"members": {"endpoints": [{**LINE, "zone": EXAMPLE["settings"]["az"], "type": "oven"}]}}, "type"),
+        ({"members": 7}, "event 2"), ({"purge": {"key": "no hex", "at": 1}}, "event 2"), (7, "event None"),
+    )
+
+    def test_a_bad_event_is_named_and_those_behind_it_are_heard(self) -> None:
+        good = {"n": 3, "purge": {"key": "00000000000000ff", "at": 1_764_576_000_000}}
+        for bad, field in self.BAD:
+            with self.subTest(field=field, bad=bad):
+                event = {"n": 2, **bad} if isinstance(bad, dict) else bad
+                world = Virtual(None, 1, {"done": 1.0})
+                before = dict(world.reducer.state.endpoints)
+                world.tell(news_of({"n": 3, "events": [event, good]}))
+                self.assertEqual(world.reducer.state.endpoints, before)
+                self.assertEqual(world.reducer.state.tally["purges"], 1)
+                self.assertEqual(world.reducer.members.seen, 3)
+                (line,) = [x for x in world.log if x.event == "feed.refused"]
+                self.assertIn(field, line.text)
+
+    def test_an_answer_that_is_none_is_refused(self) -> None:
+        for raw in ({}, {"n": 1}, {"n": "x", "events": []}, [], {"n": 1, "events": 3}):
+            with self.subTest(raw=raw), self.assertRaises(FeedError):
+                news_of(raw)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/zincgrade/simhost.py
+++ b/zincgrade/simhost.py
@@ -92,6 +92,7 @@
     def __init__(self, options: dict[str, Any]) -> None:
         fam = options.get("family_info") or {}
         kinds = options.get("machine_types") or []
+        self.names = frozenset(kinds)
         self.parent = self._name(kinds, fam.get("shield_kind"))
         self.origin = self._name(kinds, fam.get("master_kind"))
 
