One router without sockets for both benchmarks of cost

benchmarks/fleet_cost.py had its own copy of the router without sockets that request_cost.py has; it extends that one now, and KELPCROFT_FROM names another compiled copy for both.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,11 +1,11 @@
 """What the size of the fleet costs: a request, a list event and a tick, and memory, by caches and parents.
 
-    python tools/compile.py && python -m benchmarks.fleet_cost [COPY]
+    python tools/compile.py && python -m benchmarks.fleet_cost
 
-Runs the compiled copy where there is one, or COPY, a folder with another compiled state of the program,
-whose figures can then be set beside these. All caches stand in the router's own zone, which is the
-dearest case. Sizes take turns in rounds; ratios are to 20+3 within the same round, medians are printed.
-Memory is that of a process of its own.
+Runs the compiled copy where there is one, or that in KELPCROFT_FROM, whose figures can then be set
+beside these. All caches stand in the router's own zone, which is the dearest case. Sizes take turns in
+rounds; ratios are to 20+3 in the same round, medians are printed. Memory is that of a process of its
+own.
 """
 
 from __future__ import annotations
@@ -14,31 +14,19 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from statistics import median
 from typing import Any
 
-ROOT = Path(__file__).parent.parent
-ARGS = [a for a in sys.argv[1:] if a != "--memory"]
-COPY = Path(ARGS[0]) if ARGS and not ARGS[0].isdigit() else ROOT / ".compiled/now"
-if COPY.is_dir():
-    sys.path.insert(0, str(COPY))
+from benchmarks.request_cost import COPY, MS, ROOT, One
+from kelpcroft import messages as m
+from kelpcroft.messages import Timer
+from kelpcroft.net.feed import news_of
 
-import msgpack  # noqa: E402
-
-from kelpcroft import messages as m  # noqa: E402
-from kelpcroft.config import parse  # noqa: E402
-from kelpcroft.core import reducer  # noqa: E402
-from kelpcroft.messages import Timer  # noqa: E402
-from kelpcroft.net.feed import news_of  # noqa: E402
-from kelpcroft.net.front import FrontCodec, served  # noqa: E402
-from kelpcroft.net.shelf import ShelfCodec, pull  # noqa: E402
-
-MS = 1_000_000
 SIZES = ((4, 2), (20, 3), (60, 10), (200, 20), (2000, 200))
 BASE = (20, 3)
 ROUNDS, BATCH = 15, 60
-READ = 65_536
 
 
 def line(name: str, n: int, kind: str, zone: str, state: str = "active") -> dict[str, Any]:
@@ -47,11 +35,10 @@
             "group": n, "status": state, "weight": 1, "since_ms": 0}
 
 
-class One:
-    """A router without sockets, and a fleet of a size."""
+class Fleet(One):
+    """A router without sockets, and a fleet of a size, of which all answers are fills."""
 
     def __init__(self, caches: int, parents: int) -> None:
-        self.now = 1_764_576_000 * 10**9
         raw = json.loads((ROOT / "examples/config.json").read_bytes())
         settings = raw["settings"]
         kinds, fam = settings["machine_types"], settings["family_info"]
@@ -64,37 +51,8 @@
         members = {"index": 1, "snapshot": True, "endpoints": self.lines}
         raw["known"] = {"n": 1, "events": [{"n": 1, "members": members}]}
         raw["limits"] = {**raw.get("limits", {}), "sockets": 1024, "memory_mb": 192}
-        self.router = reducer.Reducer(parse(raw, {}))
-        self.router.start(self.now)
-        self.router.handle(self.now, m.Listening())
-        self.calls, self.events = 0, 1
-        self.client = FrontCodec(1, READ)
-        self.links: dict[int, ShelfCodec] = {}
-
-    def request(self) -> int:
-        """One page, from its bytes to the bytes of its answer; their number."""
-        self.calls += 1
-        self.now += 3 * MS
-        n = self.calls
-        fields = {"trace": f"{n:016x}", "patience": "1500", "entity": f"{0xFFFF - n % 997:016x}"}
-        data = msgpack.packb([0, n, "page", [{**fields, "block": str(n % 7), "family": "17"}, b""]])
-        return sum(self.effects(self.router.handle(self.now, c)) for c in self.client.feed(memoryview(data)))
-
-    def effects(self, effects: list[m.Effect]) -> int:
-        """Carry effects out; the bytes that went to the client."""
-        size = 0
-        for e in effects:
-            if isinstance(e, m.Pull):
-                pull(e)
-                words = (e.id.encode(), b"DONE", b"sum=4be0c1927d55a6f3,t0=1,tell=parent,slow=20", b"x" * 500)
-                data = b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
-                for answer in self.links.setdefault(e.link, ShelfCodec(e.link)).feed(memoryview(data)):
-                    size += self.effects(self.router.handle(self.now + MS, answer))
-            elif isinstance(e, m.Dial):
-                size += self.effects(self.router.handle(self.now, m.LinkUp(e.link)))
-            elif isinstance(e, m.Serve):
-                size += sum(map(len, served(e.call, e.body, e.same)))
-        return size
+        super().__init__(None, raw, b"parent,slow=20")
+        self.events = 1
 
     def change(self) -> None:
         """A list event that names one cache, from its JSON."""
@@ -111,7 +69,7 @@
         self.router.handle(self.now, m.Due((Timer.HOUSE, 0, 0)))
 
 
-def cost(work: Any, count: int) -> float:
+def cost(work: Callable[[], object], count: int) -> float:
     """CPU of one, in ns."""
     began = time.process_time_ns()
     for _ in range(count):
@@ -121,7 +79,7 @@
 
 def memory(caches: int, parents: int) -> None:
     """What a process holds after some hundred requests, in KB."""
-    one = One(caches, parents)
+    one = Fleet(caches, parents)
     for _ in range(300):
         one.request()
     status = Path("/proc/self/status").read_text().split()
@@ -133,7 +91,7 @@
     if "--memory" in sys.argv:
         memory(*(int(a) for a in sys.argv[1:] if a.isdigit()))
         return
-    fleet = {size: One(*size) for size in SIZES}
+    fleet = {size: Fleet(*size) for size in SIZES}
     for one in fleet.values():
         assert sum(one.request() > 500 for _ in range(100)) == 100, "every request is served"
     found: dict[tuple[tuple[int, int], str], list[float]] = {}
@@ -142,11 +100,11 @@
             one = fleet[size]
             for name, work in (("request", one.request), ("list event", one.change), ("tick", one.tick)):
                 found.setdefault((size, name), []).append(cost(work, BATCH))
-    copy = [str(COPY)] if COPY.is_dir() else []
-    command = [sys.executable, "-m", "benchmarks.fleet_cost", *copy, "--memory"]
+    command = [sys.executable, "-m", "benchmarks.fleet_cost", "--memory"]
     held = {size: int(subprocess.run([*command, *map(str, size)], cwd=ROOT, capture_output=True, text=True,
                                      check=True).stdout) for size in SIZES}
-    print(f"{copy[0] if copy else 'plain'}, {ROUNDS} rounds of {BATCH}; us of CPU, ratio to 20+3")
+    kind = "compiled" if COPY.is_dir() else "plain"
+    print(f"{kind}, {ROUNDS} rounds of {BATCH}; us of CPU, ratio to 20+3")
     for size in SIZES:
         cells = []
         for name in ("request", "list event", "tick"):
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -2,20 +2,23 @@
 
     python tools/compile.py && python -m benchmarks.request_cost
 
-Runs the compiled copy where there is one.  Variants take turns in short rounds; a round's ratio is to the one
-without a file in the same round, and the median of the ratios is printed.
+Runs the compiled copy where there is one, or that in KELPCROFT_FROM. Variants take turns in short
+rounds; a round's ratio is to the one without a file in the same round, and the median of the ratios is
+printed.
 """
 
 from __future__ import annotations
 
 import json
+import os
 import sys
 import time
 from pathlib import Path
 from statistics import median
+from typing import Any
 
 ROOT = Path(__file__).parent.parent
-COPY = ROOT / ".compiled/now"
+COPY = Path(os.environ.get("KELPCROFT_FROM") or ROOT / ".compiled/now")
 if COPY.is_dir():
     sys.path.insert(0, str(COPY))
 
@@ -46,9 +49,10 @@
 class One:
     """A router without sockets."""
 
-    def __init__(self, text: str | None) -> None:
-        self.now = 1_764_576_000 * 10**9
-        self.router = reducer.Reducer(parse(json.loads((ROOT / "examples/config.json").read_bytes()), {}))
+    def __init__(self, text: str | None, raw: dict[str, Any] | None = None, tell: bytes = b"mem") -> None:
+        self.now, self.tell = 1_764_576_000 * 10**9, tell
+        raw = raw or json.loads((ROOT / "examples/config.json").read_bytes())
+        self.router = reducer.Reducer(parse(raw, {}))
         self.router.start(self.now)
         self.router.handle(self.now, m.Listening())
         if text is not None:
@@ -75,7 +79,7 @@
         for e in effects:
             if isinstance(e, m.Pull):
                 size += len(pull(e)[0])
-                words = (e.id.encode(), b"DONE", b"sum=4be0c1927d55a6f3,t0=1,tell=mem", b"x" * 500)
+                words = (e.id.encode(), b"DONE", b"sum=4be0c1927d55a6f3,t0=1,tell=" + self.tell, b"x" * 500)
                 data = b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
                 for answer in self.links.setdefault(e.link, ShelfCodec(e.link)).feed(memoryview(data)):
                     size += self.effects(self.router.handle(self.now + MS, answer))
