--- /dev/null
+++ b/kelplab/fleet.py
@@ -0,0 +1,62 @@
+"""Many instances of the decision module in virtual time, against servers that a function scripts.
+
+What they do together can be asserted.  A seed replays a run.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from random import Random
+
+from zincgrade import interface as api
+from zincgrade.interface import Note, Outcome
+from zincgrade.policy import Policy
+
+MS, S = 10**6, 10**9
+# Time to the end in ns, how it ends, the note and the report.
+Reply = tuple[int, Outcome, Note, dict[str, float]]
+
+
+class Fleet:
+    """Many routers in virtual time; ``reply`` says when and how an attempt ends, or is None: never."""
+
+    def __init__(self, routers: list[Policy], reply: Callable[[int, api.Fetch], Reply | None]) -> None:
+        self.routers, self.reply = routers, reply
+        self.heap: list[tuple[int, int, int, api.Event]] = []
+        self.made = 0
+        self.sent: list[tuple[int, api.Fetch]] = []
+        self.ended: list[tuple[int, api.Action]] = []
+        self.tries: dict[tuple[int, str], int] = {}
+
+    def at(self, when: int, router: int, event: api.Event) -> None:
+        """An event to come to one router."""
+        self.made += 1
+        heapq.heappush(self.heap, (when, self.made, router, event))
+
+    def run(self, until: int) -> None:
+        """All that comes up to a time in ns."""
+        while self.heap and self.heap[0][0] <= until:
+            now, _, n, event = heapq.heappop(self.heap)
+            for a in self.routers[n].handle(now, event):
+                if isinstance(a, api.SetTimer):
+                    self.at(a.at_ns, n, api.TimerDue(a.label))
+                elif isinstance(a, api.Fetch):
+                    self.sent.append((now, a))
+                    number = self.tries.get((n, a.id), 0)
+                    self.tries[n, a.id] = number + 1
+                    took, outcome, note, report = self.reply(now, a) or (
+                        a.timeout_ns, Outcome.TIMEOUT, Note.NONE, {})
+                    self.at(now + took, n, api.AttemptEnded(a.id, number, a.cache, outcome, took,
+                                                            outcome is Outcome.OK, note, 50 * MS, report))
+                elif isinstance(a, (api.Refuse, api.Fail)):
+                    self.ended.append((now, a))
+
+    def ask(self, start: int, end: int, each_ns: int, random: Random, objects: int = 10**6) -> None:
+        """Requests to every router, one in ``each_ns`` on average, for objects drawn at random."""
+        for n in range(len(self.routers)):
+            now = start
+            while now < end:
+                now += int(random.expovariate(1) * each_ns)
+                self.made += 1
+                self.at(now, n, api.Request(f"{n}-{self.made}", "safe", 3 * S, random.randrange(objects)))
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import heapq
 import unittest
-from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
 from kit import MS, S, ask, fetches, policy, servers
 
 from kelpcroft.net.feed import FeedError, news_of
+from kelplab.fleet import Fleet, Reply
 from kelplab.virtual import EXAMPLE, Virtual
 from zincgrade import interface as api
 from zincgrade.interface import Note, Outcome
@@ -33,49 +32,9 @@
     return p
 
 
-Reply = tuple[int, Outcome, Note, dict[str, float]]
-
-
-class Fleet:
-    """Many routers in virtual time; ``reply`` says when and how an attempt ends, or is None: never."""
-
-    def __init__(self, routers: list[Policy], reply: Callable[[int, api.Fetch], Reply | None]) -> None:
-        self.routers, self.reply = routers, reply
-        self.heap: list[tuple[int, int, int, api.Event]] = []
-        self.made = 0
-        self.sent: list[tuple[int, api.Fetch]] = []
-        self.ended: list[tuple[int, api.Action]] = []
-        self.tries: dict[tuple[int, str], int] = {}
-
-    def at(self, when: int, router: int, event: api.Event) -> None:
-        self.made += 1
-        heapq.heappush(self.heap, (when, self.made, router, event))
-
-    def run(self, until: int) -> None:
-        while self.heap and self.heap[0][0] <= until:
-            now, _, n, event = heapq.heappop(self.heap)
-            for a in self.routers[n].handle(now, event):
-                if isinstance(a, api.SetTimer):
-                    self.at(a.at_ns, n, api.TimerDue(a.label))
-                elif isinstance(a, api.Fetch):
-                    self.sent.append((now, a))
-                    number = self.tries.get((n, a.id), 0)
-                    self.tries[n, a.id] = number + 1
-                    took, outcome, note, report = self.reply(now, a) or (
-                        a.timeout_ns, Outcome.TIMEOUT, Note.NONE, {})
-                    self.at(now + took, n, api.AttemptEnded(a.id, number, a.cache, outcome, took,
-                                                            outcome is Outcome.OK, note, 50 * MS, report))
-                elif isinstance(a, (api.Refuse, api.Fail)):
-                    self.ended.append((now, a))
-
-    def ask(self, start: int, end: int, each_ns: int, random: Random, objects: int = 10**6) -> None:
-        """Requests to every router, one in ``each_ns`` on average, for objects drawn at random."""
-        for n in range(len(self.routers)):
-            now = start
-            while now < end:
-                now += int(random.expovariate(1) * each_ns)
-                self.made += 1
-                self.at(now, n, api.Request(f"{n}-{self.made}", "safe", 3 * S, random.randrange(objects)))
+THIN = {"weights": "off", "pace_kb_per_s": 0.0, "instances": 40}
+COLD = {"cold_from": 0.17, "cold_ns": 15 * S, "fall_multiple": 2.5, "fall_ns": 2 * S}
+EVEN = [replace(x, weight=1.0) for x in servers()]
 
 
 class SlowParent(unittest.TestCase):
@@ -91,8 +50,7 @@
                 return None
             return int(random.lognormvariate(0, 0.8) * 250 * MS), Outcome.OK, Note.FILLED, {}
 
-        fleet = Fleet([policy(weights="off", pace_kb_per_s=0.0, instances=40, self_index=n)
-                       for n in range(40)], reply)
+        fleet = Fleet([policy(**THIN, self_index=n) for n in range(40)], reply)
         fleet.ask(2 * S, 18 * S, 250 * MS, random)
         fleet.run(22 * S)
 
@@ -110,9 +68,8 @@
             took = 2500 * MS if f.source == "p0" and now > 4 * S else 300 * MS
             return took, Outcome.OK, Note.FILLED_FROM_ORIGIN if f.source == "o" else Note.FILLED, {}
 
-        lines = [replace(x, weight=1.0) for x in servers() if x.name != "p1"]
-        fleet = Fleet([policy(lines, weights="off", pace_kb_per_s=0.0, instances=40, self_index=n)
-                       for n in range(40)], reply)
+        lines = [x for x in EVEN if x.name != "p1"]
+        fleet = Fleet([policy(lines, **THIN, self_index=n) for n in range(40)], reply)
         for n in range(40):                # writes run at the origin, which is how its time is known
             for k in range(5):
                 fleet.at(S + k * 100 * MS, n, api.Request(f"w{n}-{k}", "unsafe", 3 * S, k, write=True))
@@ -129,7 +86,7 @@
     answer in between took its strikes away."""
 
     def test_failed_fills_count_as_late_ones(self) -> None:
-        p = policy([replace(x, weight=1.0) for x in servers()], weights="off", pace_kb_per_s=0.0)
+        p = policy(EVEN, **THIN)
         for n in range(60):
             (f,) = fetches(ask(p, S + n * 100 * MS, f"r{n}", n))
             broke = f.source == "p0" and n % 2 == 0
@@ -160,8 +117,7 @@
             busy = round(lately / capacity[f.cache], 3)
             return 250 * MS, Outcome.OK, Note.HIT, {"utilization": busy, "x0": 0.7, "x1": 0.3}
 
-        fleet = Fleet([policy([replace(x, weight=1.0) for x in servers()], weights="off", pace_kb_per_s=0.0,
-                              instances=40, zone_instances=8, self_index=n) for n in range(8)], reply)
+        fleet = Fleet([policy(EVEN, **THIN, zone_instances=8, self_index=n) for n in range(8)], reply)
         fleet.ask(2 * S, 20 * S, 100 * MS, random, 300)
         fleet.run(24 * S)
         late = {name: sum(at > 12 * S for at in found) / capacity[name] for name, found in sends.items()}
@@ -196,12 +152,9 @@
             took = int(self.UNIT * S * max(1.0, busy))
             return took, Outcome.OK, Note.FILLED, {"utilization": busy, "x0": 0.01, "x1": 0.5}
 
-        lines = [replace(x, started_ns=start if told and x.role is api.Role.CACHE and x.zone == "a" else 0,
-                         weight=1.0) for x in servers()]
-        routers = [policy(lines, weights="off", pace_kb_per_s=0.0, direct=True, instances=40, self_index=n,
-                          zone_instances=self.ROUTERS, cold_from=0.17, cold_ns=15 * S, fall_multiple=2.5,
-                          fall_ns=2 * S) for n in range(self.ROUTERS)]
-        fleet = Fleet(routers, reply)
+        lines = [replace(x, started_ns=start) if told and x.role is api.Role.CACHE else x for x in EVEN]
+        fleet = Fleet([policy(lines, **THIN, **COLD, direct=True, self_index=n, zone_instances=self.ROUTERS)
+                       for n in range(self.ROUTERS)], reply)
         fleet.ask(start, start + 20 * S, 100 * MS, random)
         fleet.run(start + 24 * S)
         return fleet, start
@@ -227,6 +180,19 @@
             early = sum(2 * S <= at - start < 4 * S for at, f in fleet.sent if f.cache == name)
             self.assertGreater(early, 2, name)
 
+    def test_a_cold_cache_that_reports_little_load_gets_more(self) -> None:
+        def admits(busy: float) -> bool:
+            """Whether one more may go to a cold cache that has given 4.5 s of answers and been sent 1.5 s."""
+            p = policy([replace(x, started_ns=100 * S) for x in EVEN], **THIN, **COLD, zone_instances=8)
+            (f,) = fetches(ask(p, 100 * S, "r", 1))
+            node = p.nodes[f.cache]
+            node.given.add(100 * S, 4.5 * S)
+            node.sent.add(100 * S, 1.5 * S)
+            p.reported(node, {"utilization": busy})
+            return p.admits(node, p.held["r"])
+
+        self.assertEqual((admits(0.2), admits(2.0)), (True, False))
+
     def test_few_hits_told_make_a_cache_cold_before_the_list_does(self) -> None:
         fleet, start = self.fleet(told=False)
         self.check(fleet, start, 500 * MS)
