--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -1,5 +1,5 @@
-"""One request router, as its environment describes it; ROUTER_RULES names the operator's file if any.
-Exit codes: 0 asked to end, 2 bad configuration."""
+"""One request router, as its environment describes it; ROUTER_RULES names the operator's file if any, and
+ROUTER_FD a listening socket handed down by the platform.  Exit codes: 0 asked to end, 2 bad configuration."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 from kelpcroft.config import ConfigError, load, reload
 from kelpcroft.log import EventLog
+from kelpcroft.net import listeners
 from kelpcroft.net.loop import Clock, Loop
 
 
@@ -38,18 +39,17 @@
             print(error, file=sys.stderr)
             return 2
         rules = partial(steps, os.environ["ROUTER_RULES"], config.settings)
+    try:
+        listener = (listeners.adopt(config.inherited) if config.inherited is not None
+                    else listeners.bound("listen", config.listen))
+    except ConfigError as error:
+        print(f"configuration: {error}", file=sys.stderr)
+        return 2
     events = EventLog(config.name, form=os.environ.get("ROUTER_LOG", ""))
     loop = Loop(config, Clock(), partial(reload, os.environ), rules, events)
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
-    try:
-        loop.run(ours, first)
-    except OSError as error:
-        if loop.accepting:
-            raise
-        host, port = config.listen
-        print(f"configuration: listen: {host}:{port}: {error.strerror}", file=sys.stderr)
-        return 2
+    loop.run(ours, first, listener)
     return 0
 
 
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -14,7 +14,7 @@
 from kelpcroft.config import Config
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.log import EventLog
-from kelpcroft.net import front, shelf
+from kelpcroft.net import front, listeners, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
 
@@ -133,13 +133,15 @@
 
     # Start and end ----------------------------------------------------------------------------------------
 
-    def run(self, signals: socket.socket | None = None, first: m.Rules | None = None) -> None:
-        """Serve until the reducer asks for the end, by the rules that are first given."""
+    def run(self, signals: socket.socket | None = None, first: m.Rules | None = None,
+            listener: socket.socket | None = None) -> None:
+        """Serve until the reducer asks for the end, by the rules that are first given, on a listening socket
+        that is handed over or else bound here to the address of the configuration."""
         self.signals = signals
         if signals:
             self.selector.register(signals, selectors.EVENT_READ, None)
         self.carry_out(self.reducer.start(self.clock.now()))
-        self.listen()
+        self.listen(listener)
         if first is not None:
             self.tell(first)
         self.tell(m.Listening())
@@ -147,17 +149,12 @@
             self.turn()
         self.linger()
 
-    def listen(self) -> None:
-        """Take clients at the one address that was named."""
-        family = socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.setblocking(False)
-        self.listener.bind(self.config.listen)
-        self.listener.listen(1024)
+    def listen(self, listener: socket.socket | None) -> None:
+        """Take clients on the socket handed over, or at the one address that was named."""
+        self.listener = listener or listeners.bound("listen", self.config.listen)
         self.accept_more(True)
-        at = f"{self.config.listen[0]}:{self.listener.getsockname()[1]}"
-        self.log("router.listens", f"{self.config.name} listens on {at}", {"at": at})
+        at, how = listeners.where(self.listener), "inherited" if listener else "bound"
+        self.log("router.listens", f"{self.config.name} listens on {at} ({how})", {"at": at, "socket": how})
 
     def accept_more(self, on: bool) -> None:
         """Watch the listener or leave it alone."""
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,81 @@
+"""The listening sockets: one handed down by the platform is checked before a client is taken."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import orjson
+from player import EXAMPLE, ROOT, WAIT_S
+
+from kelpcroft.config import ConfigError, parse
+from kelpcroft.net.listeners import adopt, bound
+
+
+class Adopt(unittest.TestCase):
+    def test_a_listening_socket_is_served_on(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            sock = adopt(os.dup(held.fileno()))
+            self.addCleanup(sock.close)
+            client = socket.create_connection(held.getsockname(), WAIT_S)
+            self.addCleanup(client.close)
+            sock.setblocking(True)
+            accepted, _ = sock.accept()
+            accepted.close()
+
+    def test_what_is_not_a_listening_tcp_socket_is_refused_and_left_open(self) -> None:
+        read, write = os.pipe()
+        self.addCleanup(os.close, read)
+        self.addCleanup(os.close, write)
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        idle = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        for sock in (udp, idle):
+            self.addCleanup(sock.close)
+        for fd, why in ((read, "Socket operation on non-socket"), (udp.fileno(), "is not of TCP"),
+                        (idle.fileno(), "does not listen"), (999, "Bad file descriptor")):
+            with self.subTest(why=why), self.assertRaises(ConfigError) as caught:
+                adopt(fd)
+            self.assertIn("ROUTER_FD", str(caught.exception))
+            self.assertIn(why, str(caught.exception))
+        os.fstat(read)                          # still open: the descriptor was not ours to close
+        self.assertEqual(idle.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE), socket.SOCK_STREAM)
+
+    def test_an_address_in_use_is_named(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            with self.assertRaises(ConfigError) as caught:
+                bound("listen", held.getsockname())
+        self.assertIn("listen: 127.0.0.1:", str(caught.exception))
+
+    def test_router_fd_must_be_a_number(self) -> None:
+        self.assertEqual(parse(EXAMPLE, {"ROUTER_FD": "3"}).inherited, 3)
+        self.assertIsNone(parse(EXAMPLE, {}).inherited)
+        for bad in ("three", "-1", "3.0", "9" * 9):
+            with self.subTest(bad=bad), self.assertRaises(ConfigError):
+                parse(EXAMPLE, {"ROUTER_FD": bad})
+
+
+class Start(unittest.TestCase):
+    def test_a_descriptor_that_does_not_listen_ends_the_start(self) -> None:
+        """One line naming ROUTER_FD, and exit code 2, before anything is served."""
+        idle = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.addCleanup(idle.close)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_bytes(orjson.dumps(EXAMPLE))
+            done = subprocess.run(
+                [sys.executable, "-m", "kelpcroft"], cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S,
+                pass_fds=(idle.fileno(),),
+                env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_FD": str(idle.fileno())})
+        self.assertEqual(done.returncode, 2, done.stderr)
+        self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
+        self.assertIn("ROUTER_FD: descriptor", done.stderr)
+        self.assertIn("does not listen", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
