Control address, drains, and an end beside another process that lets clients go

- kelpcroft/core/service.py: in, out or ending; when new requests are refused and when an ending process may exit.
The reducer holds it; its answers are Reply effects; health says the same.
- The loop lets a client go once nothing is owed, nothing is half read and nothing waits unread.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -42,6 +42,7 @@
     try:
         listener = (listeners.adopt(config.inherited) if config.inherited is not None
                     else listeners.bound("listen", config.listen))
+        mgmt = listeners.bound("mgmt", config.mgmt) if config.mgmt is not None else None
     except ConfigError as error:
         print(f"configuration: {error}", file=sys.stderr)
         return 2
@@ -49,7 +50,7 @@
     loop = Loop(config, Clock(), partial(reload, os.environ), rules, events)
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
-    loop.run(ours, first, listener)
+    loop.run(ours, first, listener, mgmt)
     return 0
 
 
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -41,6 +41,7 @@
     kinds: Kinds
     known: News
     trace: bool = False      # ROUTER_TRACE=1: every step of every attempt goes to the log
+    mgmt: Address | None = None   # the control address, if any
     inherited: int | None = None  # ROUTER_FD: a listening socket's descriptor, served on and not bound
 
 
@@ -118,6 +119,7 @@
     if not isinstance(name, str) or not name:
         raise ConfigError("name: is missing, and so is ROUTER_NAME")
     listen = environ.get("ROUTER_LISTEN")
+    mgmt = environ.get("ROUTER_MGMT") or raw.get("mgmt")
     fd = environ.get("ROUTER_FD", "")
     if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 8):
         raise ConfigError(f"ROUTER_FD: {fd[:40]!r} is not the number of a descriptor")
@@ -131,4 +133,5 @@
         idle_ns=number("settings.limits.conn_idle_ns", lim.get("conn_idle_ns"), 0, 0),
         dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
         settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1",
+        mgmt=address_of("ROUTER_MGMT" if environ.get("ROUTER_MGMT") else "mgmt", mgmt) if mgmt else None,
         inherited=int(fd) if fd else None)
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -13,6 +13,7 @@
 from kelpcroft.core.attempts import IDLE_SHARE, SPENT_NS, Attempts
 from kelpcroft.core.members import Members
 from kelpcroft.core.requests import Requests
+from kelpcroft.core.service import Mode, Service
 from kelpcroft.core.state import MS, SECOND, State
 from kelpcroft.invariants import counts, holds
 from kelpcroft.messages import Effect, Timer
@@ -33,6 +34,8 @@
         self.attempts = Attempts(self.state, self.requests)
         self.members = Members(self.state, self.attempts, self.drive)
         self.listening = self.ending = False
+        self.service = Service(shared=config.inherited is not None)
+        self.clients: set[int] = set()       # connections of clients that are open
         self.ended_ns = 0
         self.counted_ns = 0
 
@@ -50,7 +53,11 @@
         """One input."""
         self.state.now, self.state.effects = now, []
         if isinstance(message, m.Call):
-            self.requests.on_call(message)
+            if self.service.admits(now):
+                self.requests.on_call(message)
+            else:
+                self.state.tally["sent away"] += 1
+                self.state.effects.append(m.Decline(message.client, message.call, 0))
         elif isinstance(message, m.Answer):
             self.attempts.on_answer(message)
         elif isinstance(message, m.Due):
@@ -61,9 +68,13 @@
                 self.state.tally["cancelled by client"] += 1
                 self.requests.gone(request)
         elif isinstance(message, m.AskHealth):
-            fit = self.listening and self.members.listed and not self.ending
-            self.state.effects.append(m.TellHealth(message.client, message.call, fit))
+            self.state.effects.append(m.TellHealth(message.client, message.call, not self.unready()))
+        elif isinstance(message, m.Control):
+            self.on_control(message)
+        elif isinstance(message, m.ClientCame):
+            self.clients.add(message.client)
         elif isinstance(message, m.ClientLost):
+            self.clients.discard(message.client)
             for request in list(self.state.calls.get(message.client, {}).values()):
                 self.requests.gone(request)
             self.state.calls.pop(message.client, None)
@@ -114,6 +125,31 @@
         else:
             self.on_lame(number)
 
+    def unready(self) -> str:
+        """Why this process does not take clients now, or "" where it does."""
+        return ("ending" if self.ending else "out of service" if self.service.mode is Mode.OUT
+                else "not listening yet" if not self.listening else "no list of servers yet"
+                if not self.members.listed else "")
+
+    def on_control(self, call: m.Control) -> None:
+        """A call on the control address, answered in the same turn.  A drain lets clients go once nothing is
+        owed them; the process goes on serving what it has taken, and stays to be taken back."""
+        s, verb, since = self.state, call.verb, self.service.since_ns
+        if verb is m.Verb.OUT and self.service.drain(s.now):
+            fields = {"open": len(s.requests), "clients": len(self.clients)}
+            s.log("service.out", f"out of service: clients are let go; {fields['open']} requests open, "
+                  f"{fields['clients']} clients", "info", dict(fields))
+            s.effects.append(m.Release(True))
+        elif verb is m.Verb.IN and self.service.resume(s.now):
+            s.log("service.in", f"in service again after {(s.now - since) / SECOND:.1f} s", "info",
+                  {"out_s": round((s.now - since) / SECOND, 3)})
+            s.effects.append(m.Release(False))
+        why = self.unready()
+        told: dict[str, object] = {"ready": not why, "service": self.service.mode.value}
+        if why:
+            told["why"] = why
+        s.effects.append(m.Reply(call.caller, verb is not m.Verb.READY or not why, told))
+
     def on_rules(self, rules: m.Rules) -> None:
         """The operator's file was read.  Open requests keep what they were granted; one that may not be used
         changes nothing."""
@@ -137,13 +173,18 @@
             self.ending, self.ended_ns = True, self.state.now
             count = len(self.state.requests)
             self.state.log("router.ending", f"ending: {count} requests open", "info", {"open": count})
-            self.state.wake(ACCEPT_NS, Timer.LAME, 1)
+            self.service.end(self.state.now)
+            if self.service.shared:
+                # Another process holds the same listening socket: it takes what queues there from now on.
+                self.state.effects += [m.StopAccepting(), m.Release(True)]
+            else:
+                self.state.wake(ACCEPT_NS, Timer.LAME, 1)
             self.state.wake(LAME_NS, Timer.LAME, 2)
 
     def on_lame(self, step: int) -> None:
         if step == 1:
             self.state.effects.append(m.StopAccepting())
-        elif self.state.requests:
+        elif not self.service.may_exit(self.state.now, len(self.state.requests), len(self.clients)):
             self.state.wake(10 * MS, Timer.LAME, 2)
         else:
             self.count()
--- /dev/null
+++ b/kelpcroft/core/service.py
@@ -0,0 +1,84 @@
+"""Whether this process takes clients: in service, drained by a call on the control address, or ending.
+
+Pure: the reducer hands it the time, it answers.  Times are Unix nanoseconds.
+
+A drain and the end of a process that shares its listening socket go the same way.  At once the process says
+it is not ready, and lets each client's connection go as soon as nothing is owed on it (the loop does that, at
+the reducer's word); a request that crosses such a close is sent again by the client, elsewhere.  Requests
+that come on a connection that is still busy are served until the cut; after it they are refused, so that by
+the time the platform counts (4 s after a drain, the SIGKILL after an end) no connection holds a new request.
+A drained process never exits; an ending one exits once nothing is open and no client is left, or at the hold.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+DRAIN_CUT_NS = 1_500 * MS    # after a drain, new requests on kept connections are served for so long
+END_CUT_NS = 700 * MS        # after SIGTERM beside another process: later ones could outlive the SIGKILL
+END_HOLD_NS = 2_500 * MS     # an ending process waits so long at most for its clients to go
+
+
+class Mode(Enum):
+    IN = "in"                # takes clients
+    OUT = "out"              # drained: sends them away, stays to be taken back
+    ENDING = "ending"        # SIGTERM: sends them away, then exits
+
+
+@dataclass(slots=True)
+class Service:
+    """The state of service of one process."""
+
+    mode: Mode = Mode.IN
+    since_ns: int = 0        # when the present mode began
+    shared: bool = False     # the listening socket is shared with another process (``ROUTER_FD``)
+
+    def drain(self, now: int) -> bool:
+        """Out of service; False where it was so already or is ending."""
+        if self.mode is not Mode.IN:
+            return False
+        self.mode, self.since_ns = Mode.OUT, now
+        return True
+
+    def resume(self, now: int) -> bool:
+        """In service again; False where it was so already, or is ending, which cannot be undone."""
+        if self.mode is not Mode.OUT:
+            return False
+        self.mode, self.since_ns = Mode.IN, now
+        return True
+
+    def end(self, now: int) -> bool:
+        """SIGTERM; False where it came before."""
+        if self.mode is Mode.ENDING:
+            return False
+        self.mode, self.since_ns = Mode.ENDING, now
+        return True
+
+    @property
+    def letting_go(self) -> bool:
+        """Whether clients are to be let go once nothing is owed them."""
+        return self.mode is Mode.OUT or self.mode is Mode.ENDING and self.shared
+
+    def cut_at(self) -> int:
+        """From when new requests on kept connections are refused; 0 while they are all taken."""
+        if self.mode is Mode.OUT:
+            return self.since_ns + DRAIN_CUT_NS
+        if self.mode is Mode.ENDING and self.shared:
+            return self.since_ns + END_CUT_NS
+        return 0
+
+    def admits(self, now: int) -> bool:
+        """Whether a new request is taken rather than refused."""
+        cut = self.cut_at()
+        return not cut or now < cut
+
+    def may_exit(self, now: int, requests: int, clients: int) -> bool:
+        """Whether an ending process may go now: nothing is open, and no client is left or waiting for them
+        to go has taken long enough.  A process that binds its own socket does not wait for clients: the
+        platform sends none after its first SIGTERM, and kept ones are closed at the exit."""
+        if self.mode is not Mode.ENDING or requests:
+            return False
+        return not self.shared or not clients or now - self.since_ns >= END_HOLD_NS
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -65,6 +65,13 @@
     call: int
 
 
+@message
+class ClientCame:
+    """A client's connection was taken."""
+
+    client: int
+
+
 @message
 class ClientLost:
     """A client's connection has ended; nothing is owed on it any more."""
@@ -155,6 +162,22 @@
     """Clients can connect."""
 
 
+class Verb(Enum):
+    """A call on the control address."""
+
+    READY = "ready"          # does this process take clients?
+    OUT = "out-of-service"   # send clients away
+    IN = "in-service"        # take them again
+
+
+@message
+class Control:
+    """A call on the control address, from the caller with this number."""
+
+    caller: int
+    verb: Verb
+
+
 class Timer(Enum):
     """What a wake-up is for."""
 
@@ -202,8 +225,8 @@
     faults: int = 0
 
 
-Input = Union[Call, CallOff, AskHealth, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost, Listening, Due,
-              Terminate, Reload, Rules]
+Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost,
+              Listening, Due, Terminate, Reload, Rules, Control]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -342,10 +365,26 @@
     """Take no new connections."""
 
 
+@message
+class Reply:
+    """The answer to a call on the control address: yes or no, and what is said with it."""
+
+    caller: int
+    ok: bool
+    fields: dict[str, object]
+
+
+@message
+class Release:
+    """Let clients go once nothing is owed them and nothing of theirs is half read (a drain), or keep them."""
+
+    on: bool
+
+
 @message
 class Exit:
     """Flush what is written, then end with success."""
 
 
 Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Move, Wake,
-               Log, StopAccepting, Exit]
+               Log, StopAccepting, Reply, Release, Exit]
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -14,7 +14,7 @@
 from kelpcroft.config import Config
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.log import EventLog
-from kelpcroft.net import front, listeners, shelf
+from kelpcroft.net import control, front, listeners, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
 
@@ -37,6 +37,9 @@
 POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
 SPARE_CLIENTS = 8            # connections accepted over the clients' share
 LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
+CALLERS_MOST = 32            # connections to the control address at once; the longest open goes for another
+CALLER_NS = 5 * SECOND       # a caller has so long for its call and to read the answer
+NEW_NS = SECOND              # in a drain, a client that has said nothing is let go after so long
 
 
 
@@ -90,6 +93,16 @@
         self.read_ns = now       # when bytes last came
 
 
+class Caller(Peer):
+    """A connection to the control address: one call, one answer, then the end."""
+
+    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
+        super().__init__(sock, pool, now)
+        self.number, self.codec, self.up = number, control.ControlCodec(), True
+        self.opened_ns = now
+        self.answered = False    # the answer is written, or waits to be; what comes after is not read
+
+
 class Feed(Peer):
     """A connection to the feed, with the poll that is out on it."""
 
@@ -121,6 +134,9 @@
         self.most_clients = config.sockets // 3 + SPARE_CLIENTS
         self.listener: socket.socket | None = None
         self.accepting = False
+        self.mgmt: socket.socket | None = None           # the control address
+        self.callers: dict[int, Caller] = {}
+        self.releasing = False                           # clients go once nothing is owed them
         self.made = 0
         self.heap: list[tuple[int, int, m.Key]] = []
         self.dirty: dict[Peer, None] = {}
@@ -134,13 +150,21 @@
     # Start and end ----------------------------------------------------------------------------------------
 
     def run(self, signals: socket.socket | None = None, first: m.Rules | None = None,
-            listener: socket.socket | None = None) -> None:
+            listener: socket.socket | None = None, mgmt: socket.socket | None = None) -> None:
         """Serve until the reducer asks for the end, by the rules that are first given, on a listening socket
-        that is handed over or else bound here to the address of the configuration."""
+        that is handed over or else bound here to the address of the configuration; calls on the control
+        address come on ``mgmt``, bound here where the configuration names one and none is given."""
         self.signals = signals
         if signals:
             self.selector.register(signals, selectors.EVENT_READ, None)
         self.carry_out(self.reducer.start(self.clock.now()))
+        if mgmt is None and self.config.mgmt is not None:
+            mgmt = listeners.bound("mgmt", self.config.mgmt)
+        if mgmt is not None:
+            self.mgmt = mgmt
+            self.selector.register(mgmt, selectors.EVENT_READ, None)
+            at = listeners.where(mgmt)
+            self.log("control.listens", f"control address on {at}", {"at": at})
         self.listen(listener)
         if first is not None:
             self.tell(first)
@@ -153,7 +177,7 @@
         """Take clients on the socket handed over, or at the one address that was named."""
         self.listener = listener or listeners.bound("listen", self.config.listen)
         self.accept_more(True)
-        at, how = listeners.where(self.listener), "inherited" if listener else "bound"
+        at, how = listeners.where(self.listener), "bound" if self.config.inherited is None else "inherited"
         self.log("router.listens", f"{self.config.name} listens on {at} ({how})", {"at": at, "socket": how})
 
     def accept_more(self, on: bool) -> None:
@@ -206,6 +230,8 @@
                 turns[peer.order].append((peer, events))
             elif key.fileobj is self.listener:
                 self.accept()
+            elif key.fileobj is self.mgmt:
+                self.accept_callers()
             elif self.signals:
                 self.on_signals(self.signals.recv(SIZE))
         # News of the list and of purges before answers, answers before new requests.
@@ -316,6 +342,14 @@
                     self.lost.append((client, e.why))
             elif isinstance(e, m.Log):
                 self.events.write(self.clock.now(), e)
+            elif isinstance(e, m.Reply):
+                caller = self.callers.get(e.caller)
+                if caller:
+                    self.reply(caller, control.reply(e.ok, e.fields, caller.codec.head_only))
+            elif isinstance(e, m.Release):
+                self.releasing = e.on
+                for client in list(self.clients.values()):
+                    self.let_go(client)
             elif isinstance(e, m.StopAccepting):
                 self.accept_more(False)
                 if self.listener:
@@ -415,6 +449,7 @@
             self.made += 1
             client = self.clients[self.made] = Client(self.made, sock, self.pool, self.clock.now())
             self.watch(client, selectors.EVENT_READ)
+            self.tell(m.ClientCame(client.number))
 
     def writable(self, peer: Peer) -> None:
         if not peer.up:
@@ -441,9 +476,17 @@
             self.lost.append((peer, "no buffers left for what it does not read"))
             return
         self.watch(peer, self.wanted(peer))
+        if not after:
+            if isinstance(peer, Caller):
+                self.ended(peer)
+            elif self.releasing and isinstance(peer, Client):
+                self.let_go(peer)
 
     def read(self, peer: Peer) -> None:
         """A few buffers from one connection."""
+        if isinstance(peer, Caller):
+            self.hear(peer)
+            return
         buffer = self.pool.take()
         if buffer is None:
             self.lose(peer, "no buffer to read into")
@@ -493,6 +536,79 @@
                     return
                 self.tell(message)
 
+    # The control address ------------------------------------------------------------------------------------
+
+    def accept_callers(self) -> None:
+        """Callers of the control address; past their bound the longest open goes for a new one."""
+        assert self.mgmt
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.mgmt.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log("accept.failed", f"control accept: {error}", {"why": str(error)}, "warning")
+                return
+            if len(self.callers) >= CALLERS_MOST:
+                self.close(min(self.callers.values(), key=lambda c: c.opened_ns))
+            sock.setblocking(False)
+            self.made += 1
+            caller = self.callers[self.made] = Caller(self.made, sock, self.pool, self.clock.now())
+            self.watch(caller, selectors.EVENT_READ)
+
+    def hear(self, caller: Caller) -> None:
+        """What a caller sent: a whole call goes to the reducer; what is no call is answered here."""
+        try:
+            data = caller.sock.recv(control.READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close(caller)
+            return
+        if not data:
+            self.close(caller)
+        elif not caller.answered:
+            said = caller.codec.feed(data)
+            if isinstance(said, m.Verb):
+                caller.answered = True
+                self.tell(m.Control(caller.number, said))
+            elif said is not None:
+                self.reply(caller, said)
+
+    def reply(self, caller: Caller, answer: bytes) -> None:
+        """Write the one answer; the connection ends once it is out."""
+        caller.answered = True
+        caller.backlog.add((answer,))
+        self.dirty[caller] = None
+
+    def ended(self, caller: Caller) -> None:
+        """The answer is out: no more is written, and the caller's close, or the time of callers, ends it."""
+        try:
+            caller.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close(caller)
+
+    # Draining ---------------------------------------------------------------------------------------------
+
+    def let_go(self, client: Client) -> None:
+        """In a drain, close a client's connection once nothing is owed on it, nothing of it is half read,
+        and nothing waits unread in the socket: a request that crosses the close is sent again by the
+        client, and goes to another router."""
+        if not self.releasing or client.leaving or client.ready_ns or client.codec.partial():
+            return
+        if not client.said and self.clock.now() - client.heard_ns < NEW_NS:
+            return               # new: its first request is on the way
+        if not self.spare(client):
+            return
+        try:
+            if client.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return           # read in this turn or the next, then let go
+        except BlockingIOError:
+            pass
+        except OSError:
+            pass
+        self.lose(client, "")
+
     def lose(self, peer: Peer, why: str, down: bool = False) -> None:
         """A connection has ended: its socket goes, and the reducer hears of it."""
         if isinstance(peer, Client):
@@ -522,6 +638,8 @@
                 self.accept_more(True)
         elif isinstance(peer, Server):
             self.servers.pop(peer.number, None)
+        elif isinstance(peer, Caller):
+            self.callers.pop(peer.number, None)
         elif peer is self.feed:
             self.feed = None
 
@@ -529,6 +647,11 @@
         """Connections that take nothing any more give their buffers back; clients that say nothing, or have
         nothing open for long, make room: some keep their connection for good, and would hold every place."""
         self.cleaned_ns, self.complaints = now, 0
+        for caller in [c for c in self.callers.values() if now - c.opened_ns > CALLER_NS]:
+            self.close(caller)
+        if self.releasing:
+            for client in list(self.clients.values()):
+                self.let_go(client)
         for peer in [*self.clients.values(), *self.servers.values()]:
             if peer.backlog.size() and now - peer.moved_ns > STUCK_NS:
                 self.lose(peer, "takes nothing any more")
