--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -10,7 +10,7 @@
 import sys
 from functools import partial
 
-from kelpcroft.config import ConfigError, load, reload
+from kelpcroft.config import ConfigError, load, reread
 from kelpcroft.log import EventLog
 from kelpcroft.net import listeners
 from kelpcroft.net.loop import Clock, Loop
@@ -47,7 +47,7 @@
         print(f"configuration: {error}", file=sys.stderr)
         return 2
     events = EventLog(config.name, form=os.environ.get("ROUTER_LOG", ""))
-    loop = Loop(config, Clock(), partial(reload, os.environ), rules, events)
+    loop = Loop(config, Clock(), partial(reread, os.environ), rules, events)
     gc.freeze()  # what is there by now stays; collections need not look at it
     gc.set_threshold(50_000, 20, 20)  # hardly anything here is cyclic
     loop.run(ours, first, listener, mgmt)
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +16,7 @@
 
 NS_PER_MS = 1_000_000
 LEAST_SOCKETS = 64          # under this no useful number of clients and servers fits
+FILE_MOST = 16 << 20        # bytes of a configuration read again
 
 
 class ConfigError(ValueError):
@@ -43,6 +44,7 @@
     trace: bool = False      # ROUTER_TRACE=1: every step of every attempt goes to the log
     mgmt: Address | None = None   # the control address, if any
     inherited: int | None = None  # ROUTER_FD: a listening socket's descriptor, served on and not bound
+    raw: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
 
 
 def address_of(key: str, text: Any) -> Address:
@@ -83,12 +85,17 @@
     return parse(table("ROUTER_CONFIG", raw), environ)
 
 
-def reload(environ: Mapping[str, str]) -> Reload:
-    """Read the file again.  Only ``feed`` may change while the program runs, but all must be usable."""
+def reread(environ: Mapping[str, str]) -> Reload:
+    """The file's bytes once more, for the reducer to check (``kelpcroft.retune``); files are 1 MB at most."""
+    path = environ.get("ROUTER_CONFIG", "")
     try:
-        return Reload(load(environ).feed, "")
-    except ConfigError as error:
-        return Reload(None, str(error))
+        with open(path, "rb") as file:
+            data = file.read(FILE_MOST + 1)
+    except OSError as error:
+        return Reload(path, None, f"{path}: {error.strerror}")
+    if len(data) > FILE_MOST:
+        return Reload(path, None, f"{path}: is over {FILE_MOST} bytes")
+    return Reload(path, data)
 
 
 def parse(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -132,6 +139,6 @@
         max_streams=number("settings.limits.max_streams", lim.get("max_streams"), 1, 1),
         idle_ns=number("settings.limits.conn_idle_ns", lim.get("conn_idle_ns"), 0, 0),
         dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
-        settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1",
+        settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1", raw=raw,
         mgmt=address_of("ROUTER_MGMT" if environ.get("ROUTER_MGMT") else "mgmt", mgmt) if mgmt else None,
         inherited=int(fd) if fd else None)
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -98,17 +98,11 @@
         else:
             self.state.wake(FEED_AGAIN_NS, Timer.FEED)
 
-    def on_reload(self, new: m.Reload) -> None:
-        """A new file may name another address of the feed.  Its numbers go on, so nothing is told twice.  A
-        file that cannot be used changes nothing."""
-        if new.feed is None:
-            self.state.log("config.refused", f"configuration not taken: {new.why}", "warning",
-                           {"why": new.why})
-        elif new.feed == self.feed_at:
-            self.state.log("config.read", "configuration read again: the feed stays where it is")
-        else:
-            where = f"{new.feed[0]}:{new.feed[1]}"
-            self.state.log("config.read", f"configuration read again: the feed is at {where}", "info",
-                           {"feed": where})
-            self.feed_at, self.feed_failures = new.feed, 0
-            self.state.effects += [m.Move(new.feed), m.Poll(self.seen)]
+    def move(self, feed: tuple[str, int]) -> str:
+        """A file read again may name another address of the feed.  Its numbers go on, so nothing is told
+        twice.  What is said of it in the log."""
+        if feed == self.feed_at:
+            return "the feed stays where it is"
+        self.feed_at, self.feed_failures = feed, 0
+        self.state.effects += [m.Move(feed), m.Poll(self.seen)]
+        return f"the feed is at {feed[0]}:{feed[1]}"
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -15,6 +15,7 @@
 from kelpcroft.core.requests import Requests
 from kelpcroft.core.service import Mode, Service
 from kelpcroft.core.state import MS, SECOND, State
+from kelpcroft.core.tuning import Tuning
 from kelpcroft.invariants import counts, holds
 from kelpcroft.messages import Effect, Timer
 from zincgrade import interface as api
@@ -33,6 +34,7 @@
         self.requests = Requests(self.state)
         self.attempts = Attempts(self.state, self.requests)
         self.members = Members(self.state, self.attempts, self.drive)
+        self.tuning = Tuning(self.state, self.members)
         self.listening = self.ending = False
         self.service = Service(shared=config.inherited is not None)
         self.clients: set[int] = set()       # connections of clients that are open
@@ -90,7 +92,7 @@
         elif isinstance(message, m.Listening):
             self.listening = True
         elif isinstance(message, m.Reload):
-            self.members.on_reload(message)
+            self.tuning.on_reload(message)
         elif isinstance(message, m.Rules):
             self.on_rules(message)
         else:
@@ -122,6 +124,8 @@
             self.state.effects.append(m.Poll(self.members.seen))
         elif timer is Timer.HOUSE:
             self.keep_house()
+        elif timer is Timer.RETUNE:
+            self.tuning.on_settle(number)
         else:
             self.on_lame(number)
 
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -30,7 +30,7 @@
             self.state.tally["not usable"] += 1
             self.state.effects.append(m.Break(c.client, c.call))
             return
-        most = self.state.config.settings.limits.max_open
+        most = self.state.settings.limits.max_open
         if most and len(self.state.requests) >= most:
             self.state.effects.append(m.Decline(c.client, c.call, 0))
             return
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -70,7 +70,9 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.policy = Policy(config.settings)
+        self.settings = config.settings                      # as now in use: retuned at SIGHUP
         self.classes = {c.name: c for c in config.settings.classes}
+        self.used = config.raw                               # the configuration in use, as read
         clients = config.sockets // CLIENT_SHARE
         self.links = Links(config.sockets - clients - SPARE_SOCKETS, config.max_streams)
         self.endpoints: dict[str, m.Endpoint] = {}
@@ -94,6 +96,12 @@
         first: where nothing is traced, nothing is made for it."""
         self.effects.append(m.Log(f"trace.{event}", event, "info", fields))
 
+    def retune(self, settings: api.Settings) -> None:
+        """Classes and limits from now on, for the reducer's parts and the module alike."""
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.events.append(api.Retuned(settings))
+
     def wake(self, after_ns: int, timer: Timer, number: int = 0) -> None:
         self.effects.append(m.Wake(self.now + after_ns, (timer, number, 0)))
 
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -191,6 +191,7 @@
     AGAIN = "again"          # a request's wait between two attempts is over
     HOUSE = "house"          # idle connections, counters
     LAME = "lame"            # steps of the planned end
+    RETUNE = "retune"        # the passage to settings read again is over
 
 
 Key = tuple[Timer, int, int]
@@ -210,10 +211,11 @@
 
 @message
 class Reload:
-    """The configuration was to be read again: the feed's new address, or why the file cannot be used."""
+    """The configuration was read again (SIGHUP): its bytes, or None and why they could not be read."""
 
-    feed: tuple[str, int] | None
-    why: str
+    path: str
+    data: bytes | None
+    why: str = ""
 
 
 @message
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -120,7 +120,7 @@
                  rules: Callable[[], Iterator[m.Rules | None]] | None = None, events: EventLog | None = None
                  ) -> None:
         self.config, self.clock = config, clock
-        self.reload = reload or (lambda: m.Reload(None, "there is no file"))
+        self.reload = reload or (lambda: m.Reload("", None, "there is no file"))
         self.rules = rules                   # reads the operator's file in steps
         self.reading: Iterator[m.Rules | None] | None = None
         self.events = events or EventLog(config.name)
--- /dev/null
+++ b/kelpcroft/retune/plan.py
@@ -0,0 +1,88 @@
+"""What a good file read again changes, and the settings of the passage from the old to the new.
+
+Clients go on with the classes they know until they have the new file, and take up the new ones 1.2 s after it
+is given out; the platform may judge a request by either file meanwhile.  So for ``PASSAGE_NS`` the router
+uses the stricter of the two wherever they differ, and then the new settings alone:
+
+- a class that changed takes the stricter effect (safe < keyed < unsafe), the shorter deadline and the longer
+  window in which repeats are dropped; a class that went is still taken, as it was; a class that came is taken
+  at once;
+- of the limits, a permission holds only where both allow it, and a number is the lower of the two that are
+  set.
+
+Only classes and limits change in service; the rest of ``Settings`` is kept to the next start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields, replace
+
+from zincgrade import interface as api
+
+MS = 1_000_000
+PASSAGE_NS = 2_000 * MS      # the stricter of old and new is used for so long
+STRICTNESS = {api.Effect.SAFE: 0, api.Effect.KEYED: 1, api.Effect.UNSAFE: 2}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What a file read again changes, by the names of classes."""
+
+    came: tuple[str, ...]
+    went: tuple[str, ...]
+    changed: tuple[str, ...]
+    attempts: tuple[int, int]        # before, after
+
+    def __bool__(self) -> bool:
+        return bool(self.came or self.went or self.changed or self.attempts[0] != self.attempts[1])
+
+    def __str__(self) -> str:
+        parts = [f"{what}: {', '.join(names)}" for what, names in (
+            ("came", self.came), ("went", self.went), ("changed", self.changed)) if names]
+        if self.attempts[0] != self.attempts[1]:
+            parts.append(f"attempts {self.attempts[0]} to {self.attempts[1]}")
+        return "; ".join(parts) or "no class or limit changed"
+
+
+def difference(old: api.Settings, new: api.Settings) -> Change:
+    """The classes that came, went or changed, and the attempts before and after."""
+    was, now = {c.name: c for c in old.classes}, {c.name: c for c in new.classes}
+    return Change(
+        came=tuple(n for n in now if n not in was), went=tuple(n for n in was if n not in now),
+        changed=tuple(n for n in now if n in was and now[n] != was[n]),
+        attempts=(old.limits.max_attempts, new.limits.max_attempts))
+
+
+def stricter(a: api.RequestClass, b: api.RequestClass) -> api.RequestClass:
+    """One class as two files give it, held to the stricter of each: ``b`` where they agree."""
+    effect = a.effect if STRICTNESS[a.effect] > STRICTNESS[b.effect] else b.effect
+    deadlines = [d for d in (a.deadline_ns, b.deadline_ns) if d > 0]
+    deadline = min(deadlines) if deadlines else 0
+    return replace(b, effect=effect, deadline_ns=deadline, window_ns=max(a.window_ns, b.window_ns),
+                   uncacheable=a.uncacheable or b.uncacheable)
+
+
+def limits_of(a: api.Limits, b: api.Limits) -> api.Limits:
+    """Permissions that both give, and the lower of numbers that are set (0 is: not told)."""
+    merged: dict[str, object] = {}
+    for f in fields(api.Limits):
+        x, y = getattr(a, f.name), getattr(b, f.name)
+        if isinstance(x, bool):
+            merged[f.name] = x and y
+        else:
+            merged[f.name] = min(x, y) if x and y else x or y
+    return api.Limits(**merged)  # type: ignore[arg-type]
+
+
+def passage(old: api.Settings, new: api.Settings) -> api.Settings:
+    """The settings to use for ``PASSAGE_NS`` after a file is read again: ``old`` but for classes and limits,
+    which are the stricter of both."""
+    was = {c.name: c for c in old.classes}
+    kept = {c.name for c in new.classes}
+    classes = tuple(stricter(was[c.name], c) if c.name in was else c for c in new.classes)
+    classes += tuple(c for c in old.classes if c.name not in kept)
+    return replace(old, classes=classes, limits=limits_of(old.limits, new.limits))
+
+
+def settled(old: api.Settings, new: api.Settings) -> api.Settings:
+    """The settings to use once the passage is over: ``old`` but for the new classes and limits."""
+    return replace(old, classes=new.classes, limits=new.limits)
--- a/zincgrade/interface.py
+++ b/zincgrade/interface.py
@@ -300,9 +300,17 @@
     ago_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Settings read again while the instance runs: from now on its classes and limits are these.  A request
+    under way keeps the class it came with, and the attempts it was allowed then, if they are fewer."""
+
+    settings: Settings
+
+
 Event = Union[
     ServerList, Request, AnswerStarted, AttemptEnded, CopyDue, WaitOver, ClientGone, TimerDue, Probed,
-    PeerMessage, Purged,
+    PeerMessage, Purged, Retuned,
 ]
 
 
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -61,9 +61,8 @@
 
 
 class Gate:
-    """Sheds load early when answers come late: the requests with most sending time per worth first.  Guards
-    against the jam in which all are served late and retried; it holds for any cause (too many requests, too
-    few servers, a full link), and hurts where few large requests were the only late ones."""
+    """Sheds the requests with most sending time per worth first when answers come late, whatever the cause:
+    the jam in which all are served late and retried.  Hurts where a few large ones were the only late."""
 
     def __init__(self) -> None:
         self.cutoff, self.scale = GATE_OPEN, Spread(0.0, SLOW_GAIN)
@@ -98,8 +97,7 @@
         self.recent.append((price, work))
 
     def bound(self, room: float) -> None:
-        """Where capacity is told: let in the cheapest that fit into its room (sending time a second, ours),
-        at once when servers go, before any answer is late."""
+        """Where capacity is told, let in the cheapest that fit its room, before any answer is late."""
         left = room * LOAD_NS / self.work.total if self.work.total else math.inf
         self.ceiling = fitting(self.recent, left) if left < 1 else math.inf
 
@@ -108,8 +106,7 @@
         return self.link - 1 - (now - self.link_ns) / LINK_NS
 
     def admits(self, price: float, now: int = 0) -> bool:
-        """Whether a request of this sending time per worth is taken.  An over-full link counts at once: its
-        fills run on when clients have left, so it jams before any one router has seen enough late answers."""
+        """Whether a request of this price is taken.  A full link counts at once: fills outlive clients."""
         over = self.over(now)
         cutoff = self.cutoff if over <= 0 else min(self.cutoff, LINK_OPEN * math.exp(-LINK_FALL * over))
         return price <= self.ceiling and (cutoff >= GATE_OPEN or price <= self.scale.mean * cutoff)
@@ -144,8 +141,7 @@
 
     def bad(self, now: int, strikes: float, lost: bool) -> bool:
         """A blamed failure; True if it made the server dead."""
-        self.strikes += strikes
-        self.lost = lost
+        self.strikes, self.lost = self.strikes + strikes, lost
         if not self.dead and self.strikes >= DEAD_STRIKES:
             self.dead, self.trial_ns = True, now + TRIAL_EVERY_NS
             return True
@@ -156,10 +152,8 @@
     """A cache, a parent or the origin as this router knows it."""
 
     def __init__(self, line: api.Server) -> None:
-        self.line = line
-        self.listed = True
+        self.line, self.listed, self.health = line, True, Health()
         self.seed = int.from_bytes(blake2b(line.name.encode(), digest_size=8).digest(), "big")
-        self.health = Health()
         self.born_ns = line.started_ns or -NEVER_NS  # last start, told or guessed
         self.full_ns = 0                   # turned us away; asked last until then
         self.held = 0                      # our attempts at it that are out
@@ -171,8 +165,7 @@
         self.busy, self.load = 1.0, Spread(1.0, LOAD_GAIN)  # how busy it reports to be; the same over a while
 
     def share(self, now: int, rules: api.Rules) -> float:
-        """Its present share of its capacity, at the least: cold at the start, full in the stated time.  One
-        that is dead may come back cold before anything tells: all routers' trials must not topple it."""
+        """Its least share of its capacity: cold at the start, full in the stated time, cold while dead."""
         role = self.line.role
         low, span = ((rules.parent_cold_from, rules.parent_cold_ns) if role is Role.PARENT
                      else (rules.cold_from, rules.cold_ns))
@@ -185,8 +178,7 @@
         return self.given.now(now) / LOAD_NS * COLD_BUSY / max(self.busy, COLD_IDLE)
 
     def lean(self, even: float) -> float:
-        """How much more it gets, as it reports to be less busy than the zone's mean: a hash alone gives small
-        and large, warm and cold the same."""
+        """How much more it gets as it reports to be less busy than the zone's mean, where a hash is even."""
         lean = (max(even, LOAD_LEAST) / max(self.load.mean, LOAD_LEAST)) ** 2 if self.load.seen else 1.0
         return min(LEAN_MOST, max(1 / LEAN_MOST, lean))
 
@@ -226,11 +218,11 @@
 class Held:
     """A request that still owes its answer, or whose attempts are still out."""
 
-    def __init__(self, now: int, request: api.Request, cls: api.RequestClass, key: int) -> None:
+    def __init__(self, now: int, request: api.Request, cls: api.RequestClass, key: int, most: int) -> None:
         self.request, self.cls, self.key = request, cls, key
         self.start_ns, self.deadline_ns = now, now + request.patience_ns
         self.out: dict[int, Attempt] = {}
-        self.tries = 0
+        self.tries, self.most = 0, most    # attempts sent; allowed when it came
         self.done = self.started = self.judged = False
         self.fills = self.look = False     # looks like a fill; only a hit is wanted
         self.resets = 0                    # attempts lost with their connection
@@ -246,15 +238,13 @@
     """The decisions of one router."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.s = settings
-        self.classes = {c.name: c for c in settings.classes}
         self.nodes: dict[str, Node] = {}
         self.held: dict[str, Held] = {}
         self.memory: OrderedDict[int, Memo] = OrderedDict()
         self.purges: dict[tuple[int | None, int], tuple[int, int]] = {}  # when, until when it matters
-        self.ratio = {c.name: Spread(1.0, AVERAGE_GAIN) for c in settings.classes}  # answer time over usual
-        self.unit = {c.name: Spread(FIRST_UNIT_NS, SLOW_GAIN) for c in settings.classes}  # sending time
-        self.base = {c.name: math.inf for c in settings.classes}  # the same, while links were free
+        # By class: answer time over usual; sending time; the same, while links were free.
+        self.ratio, self.unit, self.base = dict[str, Spread](), dict[str, Spread](), dict[str, float]()
+        self.retune(settings)
         self.retries = RETRY_BURST
         self.gates = {True: Gate(), False: Gate()}  # for requests that look like fills, and for hits
         self.real = 0.5                    # share of presumed fills that turn out to be ones
@@ -303,8 +293,20 @@
             held = self.held.get(event.id)
             if held:
                 self.close(held)
+        elif isinstance(event, api.Retuned):
+            self.retune(event.settings)
         return self.actions
 
+    def retune(self, s: api.Settings) -> None:
+        """Classes and limits from now on; requests under way keep theirs (``Held``)."""
+        self.s, self.classes = s, {c.name: c for c in s.classes}
+        names = set(self.classes) | {h.cls.name for h in self.held.values()}
+        for name in names - set(self.ratio):
+            self.ratio[name], self.unit[name] = Spread(1.0, AVERAGE_GAIN), Spread(FIRST_UNIT_NS, SLOW_GAIN)
+            self.base[name] = math.inf
+        for name in set(self.ratio) - names:
+            del self.ratio[name], self.unit[name], self.base[name]
+
     def on_list(self, event: api.ServerList) -> None:
         if event.form == "unavailable":
             self.actions.append(api.SetTimer(RESUBSCRIBE, self.now + RESUBSCRIBE_NS))
@@ -335,7 +337,7 @@
     def on_request(self, r: api.Request) -> None:
         cls = self.classes[r.cls]
         key = mix(r.object * 65_537 + r.part)
-        held = self.held[r.id] = Held(self.now, r, cls, key)
+        held = self.held[r.id] = Held(self.now, r, cls, key, self.s.limits.max_attempts)
         if r.bounds and r.bounds.full:
             self.give_up(held)
             return
@@ -489,7 +491,7 @@
         held = self.held.get(e.id)
         bounds = held.request.bounds if held else None
         if (held is None or bounds is None or held.done or held.started or not held.out or not e.room
-                or held.copied >= bounds.copies or held.tries >= self.s.limits.max_attempts):
+                or held.copied >= bounds.copies or self.spent(held)):
             return
         busy = {a.node.line.name for a in held.out.values()} - held.bad_caches
         held.bad_caches |= busy
@@ -504,12 +506,16 @@
     def advance(self, held: Held) -> None:
         """Send the next attempt of a request, or end it."""
         left = held.deadline_ns - self.now
-        picked = self.pick(held) if left > 0 and held.tries < self.s.limits.max_attempts else None
+        picked = self.pick(held) if left > 0 and not self.spent(held) else None
         if picked is None:
             self.give_up(held)
         else:
             self.send(held, *picked, left)
 
+    def spent(self, held: Held) -> bool:
+        """Whether a request has had all attempts it may: as many as when it came, or as now if fewer."""
+        return held.tries >= min(held.most, self.s.limits.max_attempts)
+
     def pick(self, held: Held) -> tuple[Node, Node] | None:
         """The cache and source of the next attempt."""
         caches = self.caches(held)
@@ -578,8 +584,7 @@
         return order + [n for n in origin if not n.health.dead or self.trial_due(held, n)]
 
     def origin_dead(self) -> Node | None:
-        """Exception: an origin that fails is spared.  Parents are then asked for what they hold only, since
-        each failed parent try would ask it again; one trial now and then goes the whole way."""
+        """Exception: a failing origin is spared; parents give what they hold; a trial goes the whole way."""
         return next((n for n in self.origins if n.health.dead), None)
 
     def parents(self, held: Held) -> list[Node]:
@@ -645,9 +650,8 @@
                                            else node.line.cell == ran.cell)
 
     def age_limit(self, held: Held) -> int:
-        """Rule 5: while old copies may be about, only copies younger than the purge will do (never 0).  The
-        limit outlives purge_done_ns: a copy that left the origin just before the purge and arrived after the
-        servers' own sweep was served 6 s later.  It costs nothing, as only older copies fail it."""
+        """Rule 5: while old copies may be about, only those younger than the purge will do (never 0), also
+        past purge_done_ns: a copy filled just before the purge may land after the sweep."""
         purged = max(self.purges.get((held.request.object, 0), (0, 0))[0],
                      self.purges.get((None, held.request.group), (0, 0))[0])
         if not purged:
@@ -677,8 +681,7 @@
         return not node.sent.items and (self.now // rules.fall_ns + mix(self.s.self_index)) % turns == 0
 
     def peer_load(self, node: Node) -> float:
-        """Sending time a second that our traffic puts on a warm peer, on average, as the busiest would be
-        chance.  All together, a server can do one transfer at the least."""
+        """Sending time a second that we put on a warm peer, on average; one transfer of all at the least."""
         span = max(1, self.s.rules.fall_ns)
         peers = self.all_parents if node.line.role is Role.PARENT else self.caches_here
         loads = [n.sent.since(self.now - span) / span for n in peers if n is not node
@@ -803,8 +806,7 @@
             node.born_ns = self.now        # as if it started now, whatever the list says
 
     def silence(self) -> None:
-        """Guards against servers that answer nothing: an attempt well past its usual time, and nothing heard
-        since.  One is enough, as a router may send here once in seconds; the attempt goes on."""
+        """Blames a server for an attempt well past its usual time; one is enough, and the attempt goes on."""
         for held in self.held.values():
             for a in held.out.values():
                 if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
