--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -6,7 +6,6 @@
 import gc
 import os
 import signal
-import socket
 import sys
 from functools import partial
 
@@ -18,13 +17,13 @@
 
 def main() -> int:
     """Serve until SIGTERM or SIGINT.  Signals are taken from the first line on: one that comes while the
-    configuration is read waits on the socket until the loop looks."""
-    ours, theirs = socket.socketpair()
+    configuration is read waits in the pipe until the loop looks."""
+    ours, theirs = os.pipe()     # a pipe, not a socket pair: only TCP and UDP sockets are to be had
     for end in (ours, theirs):
-        end.setblocking(False)
-    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+        os.set_blocking(end, False)
+    signal.set_wakeup_fd(theirs, warn_on_full_buffer=False)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)  # the byte on the socket is what the loop sees
+        signal.signal(number, lambda *_: None)  # the byte in the pipe is what the loop sees
     try:
         config = load(os.environ)
     except ConfigError as error:
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -4,6 +4,7 @@
 
 import errno
 import heapq
+import os
 import selectors
 import signal
 import socket
@@ -145,17 +146,17 @@
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
         self.waited_ns = 0       # the longest that what is being read from a client may have waited
-        self.signals: socket.socket | None = None
+        self.signals: int | None = None      # the reading end of the pipe that signals write to
 
     # Start and end ----------------------------------------------------------------------------------------
 
-    def run(self, signals: socket.socket | None = None, first: m.Rules | None = None,
+    def run(self, signals: int | None = None, first: m.Rules | None = None,
             listener: socket.socket | None = None, mgmt: socket.socket | None = None) -> None:
         """Serve until the reducer asks for the end, by the rules that are first given, on a listening socket
         that is handed over or else bound here to the address of the configuration; calls on the control
         address come on ``mgmt``, bound here where the configuration names one and none is given."""
         self.signals = signals
-        if signals:
+        if signals is not None:
             self.selector.register(signals, selectors.EVENT_READ, None)
         self.carry_out(self.reducer.start(self.clock.now()))
         if mgmt is None and self.config.mgmt is not None:
@@ -232,8 +233,11 @@
                 self.accept()
             elif key.fileobj is self.mgmt:
                 self.accept_callers()
-            elif self.signals:
-                self.on_signals(self.signals.recv(SIZE))
+            elif self.signals is not None:
+                try:
+                    self.on_signals(os.read(self.signals, SIZE))
+                except BlockingIOError:
+                    pass
         # News of the list and of purges before answers, answers before new requests.
         for peer, events in turns[0] + turns[1]:
             self.serve(peer, events)
