--- a/tests/player.py
+++ b/tests/player.py
@@ -3,7 +3,8 @@
 A recording is text.  A line is a peer's name and what it does; texts are Python bytes literals, and {NAME} in
 one stands for what an earlier line kept.
 
-    client > b'...'      the peer writes (its connection is made when it is first needed)
+    client > b'...'      the peer writes (its connection is made when it is first needed); a peer
+                         named mgmt or mgmt-NAME connects to the control address
     client < b'...'      the peer reads just these bytes; (?P<name>...) in a line marked ~ keeps some
     client ~ b'...'      the same with a regular expression
     client x             the peer closes its connection
@@ -46,12 +47,13 @@
         for name in (*SERVERS, "feed", "moved"):
             self.listeners[name] = socket.create_server(("127.0.0.1", 0))
             self.listeners[name].settimeout(WAIT_S)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = free.getsockname()
+        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
+            self.address, self.mgmt = free.getsockname(), other.getsockname()
         endpoints = [{"name": server, "address": self.at(n), "zone": zone, "type": kind, "status": "active"}
                      for n, (server, zone, kind) in SERVERS.items() if n in only]
         members = {"index": 1, "snapshot": True, "endpoints": endpoints}
         self.config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
+                       "mgmt": f"127.0.0.1:{self.mgmt[1]}",
                        "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
         self.folder = tempfile.TemporaryDirectory()
         case.addCleanup(self.folder.cleanup)
@@ -80,14 +82,14 @@
             if base in self.listeners:
                 self.socks[name], _ = self.listeners[base].accept()
             else:
-                self.socks[name] = self.dial()
+                self.socks[name] = self.dial(self.mgmt if base == "mgmt" else self.address)
             self.socks[name].settimeout(WAIT_S)
         return self.socks[name]
 
-    def dial(self) -> socket.socket:
+    def dial(self, address: tuple[str, int]) -> socket.socket:
         while self.program.poll() is None:
             try:
-                return socket.create_connection(self.address, WAIT_S)
+                return socket.create_connection(address, WAIT_S)
             except ConnectionRefusedError:
                 continue
         self.log.seek(0)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -50,6 +50,10 @@
     def test_planned_end(self) -> None:
         Player(self, ONE).play("planned_end.txt")
 
+    def test_control(self) -> None:
+        """Readiness, a drain and its end on the control address, and every kind of bad call."""
+        Player(self, ONE).play("control.txt")
+
     def test_refused_connection(self) -> None:
         """A cache that refuses connections has run nothing: the request goes on elsewhere, a write too."""
         player = Player(self, ONE)
