--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -28,7 +28,8 @@
             with self.subTest(size=size):
                 self.assertEqual([s for s in said if s is not None], [m.Verb.READY])
                 self.assertFalse(codec.partial())
-        for text, verb in ((b"PUT /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", m.Verb.OUT),
+        out = b"PUT /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
+        for text, verb in ((out, m.Verb.OUT),
                            (b"PUT /control/in-service/ HTTP/1.1\r\n\r\n", m.Verb.IN),
                            (b"GET /control/ready?now=1 HTTP/1.0\r\n\r\n", m.Verb.READY)):
             self.assertIs(ControlCodec().feed(text), verb)
