--- a/tests/player.py
+++ b/tests/player.py
@@ -12,11 +12,14 @@
     program term         SIGTERM;  program exit N: it ends with this code
     program feed NAME    a configuration that names this peer as the feed, then SIGHUP
     program spoil        one that cannot be used, then SIGHUP
+    program file KIND    one of FILES, then SIGHUP
+    program log TEXT     wait until the program's log has said TEXT once more than before
 """
 
 from __future__ import annotations
 
 import ast
+import copy
 import json
 import os
 import re
@@ -25,8 +28,11 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).parent.parent
 EXAMPLE = json.loads((ROOT / "examples/config.json").read_bytes())
@@ -36,6 +42,24 @@
            "parent": ("s-p", "hub", "parent"), "origin": ("s-o", "hub", "origin")}
 
 
+def _classes(raw: dict[str, Any], change: Callable[[list[dict[str, Any]]], object]) -> bytes:
+    raw = copy.deepcopy(raw)
+    change(raw["settings"]["classes"])
+    return json.dumps(raw).encode()
+
+
+# Files read at SIGHUP: each of the broken kinds, and a good one in which a class comes.
+FILES: dict[str, Callable[[dict[str, Any]], bytes]] = {
+    "empty": lambda raw: b"",
+    "half": lambda raw: json.dumps(raw).encode()[:200],
+    "unkeyed": lambda raw: json.dumps({k: v for k, v in raw.items() if k != "settings"}).encode(),
+    "deadline": lambda raw: _classes(raw, lambda c: c[0].update(give_up_ns=-5)),
+    "attempts": lambda raw: json.dumps({**raw, "settings": {
+        **raw["settings"], "limits": {**raw["settings"]["limits"], "most_tries": 0}}}).encode(),
+    "fresh": lambda raw: _classes(raw, lambda c: c.append({**c[0], "name": "fresh"})),
+}
+
+
 class Player:
     """One run of the program with its feed and its servers."""
 
@@ -44,6 +68,7 @@
         self.listeners: dict[str, socket.socket] = {}
         self.socks: dict[str, socket.socket] = {}
         self.kept: dict[str, str] = {}
+        self.said: dict[str, int] = {}
         for name in (*SERVERS, "feed", "moved"):
             self.listeners[name] = socket.create_server(("127.0.0.1", 0))
             self.listeners[name].settimeout(WAIT_S)
@@ -95,6 +120,17 @@
         self.log.seek(0)
         raise AssertionError(f"the program has ended: {self.log.read()}")
 
+    def wait_for(self, text: str) -> None:
+        """Until the log has said ``text`` once more than when this was last asked."""
+        seen = self.said.get(text, 0)
+        for _ in range(WAIT_S * 100):
+            self.log.seek(0)
+            if self.log.read().count(text) > seen:
+                self.said[text] = seen + 1
+                return
+            time.sleep(0.01)
+        self.case.fail(f"the log did not say {text!r}")
+
     def read(self, name: str, pattern: re.Pattern[bytes], size: int | None) -> None:
         got = b""
         while size is None and not pattern.fullmatch(got) or size is not None and len(got) < size:
@@ -137,6 +173,11 @@
                 pass
         elif what == "term":
             self.program.send_signal(signal.SIGTERM)
+        elif what == "file":
+            self.path.write_bytes(FILES[text](self.config))
+            self.program.send_signal(signal.SIGHUP)
+        elif what == "log":
+            self.wait_for(text)
         elif what in ("feed", "spoil"):
             self.path.write_text(json.dumps({**self.config, "feed": self.at(text) if text else None}))
             self.program.send_signal(signal.SIGHUP)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -47,6 +47,10 @@
         player.log.seek(0)
         self.assertIn("configuration not taken: feed: ", player.log.read())
 
+    def test_retune(self) -> None:
+        """A file read again with a fault was taken in part, its feed with it; a class that came was refused."""
+        Player(self, ONE).play("retune.txt")
+
     def test_planned_end(self) -> None:
         Player(self, ONE).play("planned_end.txt")
 
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,198 @@
+"""Retuning on SIGHUP: the check of a file read again, the passage from old settings to new, and what the
+reducer, the module and the program make of both."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+import kit
+import orjson
+from kit import S
+from player import EXAMPLE
+from test_parts import NOW, call, only, router
+
+from kelpcroft import messages as m
+from kelpcroft.core.reducer import Reducer
+from kelpcroft.core.state import MS, SECOND
+from kelpcroft.retune import PASSAGE_NS, check, decode, difference, passage, settled
+from zincgrade import interface as api
+from zincgrade.interface import Outcome
+
+
+def variant(change: Any) -> dict[str, Any]:
+    raw = copy.deepcopy(EXAMPLE)
+    change(raw)
+    return raw
+
+
+def places(raw: dict[str, Any]) -> list[str]:
+    return [f.place for f in check(raw, EXAMPLE)]
+
+
+def reload(r: Reducer, now: int, raw: dict[str, Any] | bytes) -> list[m.Effect]:
+    data = raw if isinstance(raw, bytes) else orjson.dumps(raw)
+    return r.handle(now, m.Reload("config.json", data))
+
+
+def logged(effects: list[m.Effect], event: str) -> list[m.Log]:
+    return [e for e in only(m.Log, effects) if isinstance(e, m.Log) and e.event == event]
+
+
+class Check(unittest.TestCase):
+    def test_the_file_in_use_passes(self) -> None:
+        self.assertEqual(check(EXAMPLE, EXAMPLE), [])
+
+    def test_each_kind_of_broken_file_is_named_by_its_place(self) -> None:
+        classes = "settings.classes"
+        cases: list[tuple[str, Any]] = [
+            ("settings", lambda r: r.pop("settings")),
+            ("feed", lambda r: r.pop("feed")),
+            ("feed", lambda r: r.update(feed="nowhere")),
+            (f"{classes}[0].give_up_ns", lambda r: r["settings"]["classes"][0].update(give_up_ns=-5)),
+            (f"{classes}[0].give_up_ns", lambda r: r["settings"]["classes"][0].update(give_up_ns=0)),
+            (f"{classes}[0].give_up_ns", lambda r: r["settings"]["classes"][0].update(give_up_ns="3s")),
+            (f"{classes}[0].give_up_ns", lambda r: r["settings"]["classes"][0].update(give_up_ns=True)),
+            (f"{classes}[0].give_up_ns", lambda r: r["settings"]["classes"][0].pop("give_up_ns")),
+            ("settings.limits.most_tries", lambda r: r["settings"]["limits"].update(most_tries=0)),
+            ("settings.limits.most_tries", lambda r: r["settings"]["limits"].update(most_tries=1.5)),
+            ("settings.limits.most_tries", lambda r: r["settings"]["limits"].pop("most_tries")),
+            ("settings.limits", lambda r: r["settings"].pop("limits")),
+            (f"{classes}[1].name", lambda r: r["settings"]["classes"][1].update(
+                name=r["settings"]["classes"][0]["name"])),
+            (f"{classes}[0].idempotency", lambda r: r["settings"]["classes"][0].update(idempotency="twice")),
+            (classes, lambda r: r["settings"].update(classes=[])),
+        ]
+        for place, change in cases:
+            with self.subTest(place=place):
+                self.assertIn(place, places(variant(change)))
+
+    def test_all_faults_in_one_pass(self) -> None:
+        def spoil(raw: dict[str, Any]) -> None:
+            raw["settings"]["classes"][0]["give_up_ns"] = -5
+            raw["settings"]["limits"]["most_tries"] = 0
+            raw.pop("feed")
+        self.assertEqual(sorted(places(variant(spoil))), [
+            "feed", "settings.classes[0].give_up_ns", "settings.limits.most_tries"])
+
+    def test_what_is_not_whole_json(self) -> None:
+        whole = orjson.dumps(EXAMPLE)
+        for data, found in ((b"", "is empty"), (b"  \n", "is empty"), (whole[: len(whole) // 2], "not JSON"),
+                            (b"[1, 2]", "is a JSON list")):
+            with self.subTest(found=found):
+                raw, faults = decode(data)
+                self.assertIsNone(raw)
+                self.assertIn(found, str(faults[0]))
+        self.assertTrue(decode(whole[:40])[1][0].place.startswith("line 1 column"))
+
+    def test_classes_may_come_and_go(self) -> None:
+        def change(raw: dict[str, Any]) -> None:
+            c = raw["settings"]["classes"]
+            c.append({**c[0], "name": "new"})
+            del c[0]
+        self.assertEqual(places(variant(change)), [])
+
+
+class Plan(unittest.TestCase):
+    def setUp(self) -> None:
+        self.safe = api.RequestClass("a", aim_ns=100 * MS, deadline_ns=2 * SECOND)
+        self.old = api.Settings(zone="z", zones=("z",), classes=(self.safe, api.RequestClass("gone")),
+                                limits=api.Limits(max_attempts=4, second_copies=True, max_open=100))
+
+    def test_the_passage_is_the_stricter_of_both(self) -> None:
+        changed = api.RequestClass("a", api.Effect.UNSAFE, window_ns=SECOND, deadline_ns=3 * SECOND)
+        new = api.Settings(zone="other", zones=("z", "other"), classes=(changed, api.RequestClass("came")),
+                           limits=api.Limits(max_attempts=6, second_copies=False, max_open=0))
+        between = passage(self.old, new)
+        by = {c.name: c for c in between.classes}
+        self.assertEqual(set(by), {"a", "came", "gone"})
+        self.assertIs(by["a"].effect, api.Effect.UNSAFE)
+        self.assertEqual((by["a"].deadline_ns, by["a"].window_ns), (2 * SECOND, SECOND))
+        self.assertEqual((between.limits.max_attempts, between.limits.second_copies, between.limits.max_open),
+                         (4, False, 100))
+        self.assertEqual(between.zone, "z")              # kept to the next start
+        after = settled(between, new)
+        self.assertEqual([c.name for c in after.classes], ["a", "came"])
+        self.assertEqual((after.limits.max_attempts, after.zone), (6, "z"))
+        change = difference(self.old, new)
+        self.assertEqual((change.came, change.went, change.changed, change.attempts),
+                         (("came",), ("gone",), ("a",), (4, 6)))
+        self.assertFalse(difference(self.old, self.old))
+
+    def test_a_looser_effect_waits_for_the_passage(self) -> None:
+        unsafe = api.RequestClass("a", api.Effect.UNSAFE)
+        old = api.Settings(zone="z", zones=("z",), classes=(unsafe,))
+        new = api.Settings(zone="z", zones=("z",), classes=(api.RequestClass("a"),))
+        self.assertIs(passage(old, new).classes[0].effect, api.Effect.UNSAFE)
+        self.assertIs(settled(old, new).classes[0].effect, api.Effect.SAFE)
+
+
+class Reducer_(unittest.TestCase):
+    def test_a_broken_file_changes_nothing_and_is_named_once(self) -> None:
+        r = router()
+        def spoil(raw: dict[str, Any]) -> None:
+            raw["settings"]["classes"][0]["give_up_ns"] = -5
+            raw["feed"] = "127.0.0.1:9"
+        effects = reload(r, NOW, variant(spoil))
+        (line,) = logged(effects, "config.refused")
+        self.assertIn("settings.classes[0].give_up_ns: -5 is not usable", line.text)
+        self.assertIn("config.json", line.text)
+        self.assertEqual(only(m.Move, effects), [])
+        self.assertEqual(only(m.Wake, effects), [])
+        self.assertEqual(r.state.settings, r.state.config.settings)
+        for data in (b"", b'{"name": "n1", "settings"'):
+            self.assertEqual(len(logged(reload(r, NOW, data), "config.refused")), 1)
+        self.assertEqual(r.state.tally["files refused"], 3)
+
+    def test_a_class_that_comes_is_taken_at_once_and_one_that_goes_after_the_passage(self) -> None:
+        r = router()
+        first = EXAMPLE["settings"]["classes"][0]["name"]
+        def change(raw: dict[str, Any]) -> None:
+            c = raw["settings"]["classes"]
+            c.append({**c[0], "name": "fresh", "idempotency": "unsafe"})
+            del c[0]
+            raw["settings"]["limits"]["most_tries"] = 1
+        effects = reload(r, NOW, variant(change))
+        (line,) = logged(effects, "config.read")
+        self.assertIn("came: fresh", line.text)
+        self.assertIn(f"went: {first}", line.text)
+        (wake,) = only(m.Wake, effects)
+        assert isinstance(wake, m.Wake)
+        self.assertEqual(wake.at_ns, NOW + PASSAGE_NS)
+        self.assertTrue(only(m.Dial, r.handle(NOW + MS, call(1, cls="fresh"))))
+        self.assertTrue(only(m.Dial, r.handle(NOW + MS, call(2, item="0b", cls=first)))
+                        or r.state.requests)       # still taken in the passage
+        self.assertEqual(r.state.policy.s.limits.max_attempts, 1)
+        settle = r.handle(NOW + PASSAGE_NS, m.Due(wake.key))
+        self.assertEqual(len(logged(settle, "config.settled")), 1)
+        self.assertEqual(r.handle(NOW + PASSAGE_NS + MS, call(3, cls=first)), [m.Break(1, 3)])
+        self.assertEqual(r.state.classes["fresh"].effect, api.Effect.UNSAFE)
+
+
+class Module(unittest.TestCase):
+    def test_a_request_under_way_keeps_its_class_and_its_fewer_attempts(self) -> None:
+        p = kit.policy(max_attempts=2)
+        (first,) = kit.fetches(kit.ask(p, S, "r1"))
+        fresh = api.RequestClass("fresh", aim_ns=200 * MS, deadline_ns=S)
+        grown = kit.settings(max_attempts=6, classes=(fresh, kit.UNSAFE))
+        p.handle(S + MS, api.Retuned(grown))
+        self.assertIn("safe", p.ratio)                  # under way: what is known of its class stays
+        (second,) = kit.fetches(kit.end(p, S + 2 * MS, first, Outcome.ERROR))
+        self.assertEqual(kit.fetches(kit.end(p, S + 3 * MS, second, Outcome.ERROR, attempt=1)), [])
+        p.handle(S + 4 * MS, api.Retuned(grown))
+        self.assertNotIn("safe", p.ratio)               # no longer held: forgotten
+        (one,) = kit.fetches(kit.ask(p, S + 5 * MS, "r2", cls="fresh", patience_ns=S))
+        p.handle(S + 6 * MS, api.Retuned(kit.settings(max_attempts=1, classes=(fresh,))))
+        self.assertEqual(kit.fetches(kit.end(p, S + 7 * MS, one, Outcome.ERROR)), [])  # fewer now: it too
+
+    def test_without_a_retune_the_same_request_tries_on(self) -> None:
+        """The check that the one above can fail: with six attempts allowed throughout it goes on."""
+        p = kit.policy(max_attempts=6)
+        (first,) = kit.fetches(kit.ask(p, S, "r1"))
+        (second,) = kit.fetches(kit.end(p, S + 2 * MS, first, Outcome.ERROR))
+        self.assertEqual(len(kit.fetches(kit.end(p, S + 3 * MS, second, Outcome.ERROR, attempt=1))), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
