--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -48,7 +48,7 @@
         self.assertIn("configuration not taken: feed: ", player.log.read())
 
     def test_retune(self) -> None:
-        """A file read again with a fault was taken in part, its feed with it; a class that came was refused."""
+        """A file read again with a fault was taken in part, feed and all; a class that came was refused."""
         Player(self, ONE).play("retune.txt")
 
     def test_planned_end(self) -> None:
