A handover of the listening socket between two processes, as a recorded exchange

tests/player.py can hand the clients' socket down as ROUTER_FD and start a second process beside the first, with its own control address. tests/exchanges/handover.txt: the second says yes, the first says no on SIGTERM, lets its idle client go and exits 0, and the second serves the next client.

--- a/tests/player.py
+++ b/tests/player.py
@@ -14,6 +14,9 @@
     program spoil        one that cannot be used, then SIGHUP
     program file KIND    one of FILES, then SIGHUP
     program log TEXT     wait until the program's log has said TEXT once more than before
+    program second       (with ``inherit``) start a second process on the same listening socket, with a
+                         control address of its own for peers named mgmt2 or mgmt2-NAME; term and exit
+                         stay with the first
 """
 
 from __future__ import annotations
@@ -63,7 +66,9 @@
 class Player:
     """One run of the program with its feed and its servers."""
 
-    def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = tuple(SERVERS)) -> None:
+    def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = tuple(SERVERS),
+                 inherit: bool = False) -> None:
+        """``inherit``: the clients' listening socket is made here and handed down as ROUTER_FD."""
         self.case = case
         self.listeners: dict[str, socket.socket] = {}
         self.socks: dict[str, socket.socket] = {}
@@ -72,32 +77,48 @@
         for name in (*SERVERS, "feed", "moved"):
             self.listeners[name] = socket.create_server(("127.0.0.1", 0))
             self.listeners[name].settimeout(WAIT_S)
-        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
-            self.address, self.mgmt = free.getsockname(), other.getsockname()
+        self.held = socket.create_server(("127.0.0.1", 0)) if inherit else None
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = self.held.getsockname() if self.held else free.getsockname()
+        self.mgmts = {"mgmt": self.free()}
         endpoints = [{"name": server, "address": self.at(n), "zone": zone, "type": kind, "status": "active"}
                      for n, (server, zone, kind) in SERVERS.items() if n in only]
         members = {"index": 1, "snapshot": True, "endpoints": endpoints}
         self.config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
-                       "mgmt": f"127.0.0.1:{self.mgmt[1]}",
+                       "mgmt": f"127.0.0.1:{self.mgmts['mgmt'][1]}",
                        "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
         self.folder = tempfile.TemporaryDirectory()
         case.addCleanup(self.folder.cleanup)
         self.path = Path(self.folder.name) / "config.json"
         self.path.write_text(json.dumps(self.config))
         self.log = (Path(self.folder.name) / "log").open("w+")
-        self.program = subprocess.Popen(
-            [sys.executable, "-m", "kelpcroft"], cwd=PROGRAM, stderr=self.log,
-            env={**os.environ, "ROUTER_CONFIG": str(self.path)})
+        self.programs: list[subprocess.Popen[bytes]] = []
+        self.program = self.start({})
         case.addCleanup(self.close)
 
+    @staticmethod
+    def free() -> tuple[str, int]:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            return free.getsockname()[:2]  # type: ignore[no-any-return]
+
+    def start(self, more: dict[str, str]) -> subprocess.Popen[bytes]:
+        env = {**os.environ, "ROUTER_CONFIG": str(self.path), **more}
+        if self.held:
+            env["ROUTER_FD"] = str(self.held.fileno())
+        self.programs.append(subprocess.Popen(
+            [sys.executable, "-m", "kelpcroft"], cwd=PROGRAM, stderr=self.log, env=env,
+            pass_fds=(self.held.fileno(),) if self.held else ()))
+        return self.programs[-1]
+
     def at(self, name: str) -> str:
         return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
 
     def close(self) -> None:
-        self.program.kill()
-        self.program.wait()
+        for program in self.programs:
+            program.kill()
+            program.wait()
         self.log.close()
-        for sock in (*self.socks.values(), *self.listeners.values()):
+        for sock in (*self.socks.values(), *self.listeners.values(), *([self.held] if self.held else [])):
             sock.close()
 
     def sock(self, name: str) -> socket.socket:
@@ -107,12 +128,12 @@
             if base in self.listeners:
                 self.socks[name], _ = self.listeners[base].accept()
             else:
-                self.socks[name] = self.dial(self.mgmt if base == "mgmt" else self.address)
+                self.socks[name] = self.dial(self.mgmts.get(base, self.address))
             self.socks[name].settimeout(WAIT_S)
         return self.socks[name]
 
     def dial(self, address: tuple[str, int]) -> socket.socket:
-        while self.program.poll() is None:
+        while any(program.poll() is None for program in self.programs):
             try:
                 return socket.create_connection(address, WAIT_S)
             except ConnectionRefusedError:
@@ -178,6 +199,9 @@
             self.program.send_signal(signal.SIGHUP)
         elif what == "log":
             self.wait_for(text)
+        elif what == "second":
+            self.mgmts["mgmt2"] = self.free()
+            self.start({"ROUTER_MGMT": f"127.0.0.1:{self.mgmts['mgmt2'][1]}"})
         elif what in ("feed", "spoil"):
             self.path.write_text(json.dumps({**self.config, "feed": self.at(text) if text else None}))
             self.program.send_signal(signal.SIGHUP)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -51,6 +51,10 @@
         """A file read again with a fault was taken in part, feed and all; a class that came was refused."""
         Player(self, ONE).play("retune.txt")
 
+    def test_handover(self) -> None:
+        """Both processes bound the clients' address: the second could not start while the first served."""
+        Player(self, ONE, inherit=True).play("handover.txt")
+
     def test_planned_end(self) -> None:
         Player(self, ONE).play("planned_end.txt")
 
