--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -44,6 +44,7 @@
     trace: bool = False      # ROUTER_TRACE=1: every step of every attempt goes to the log
     mgmt: Address | None = None   # the control address, if any
     inherited: int | None = None  # ROUTER_FD: a listening socket's descriptor, served on and not bound
+    state_dir: str = ""      # $TMPDIR: where a process leaves its state of service for the next
     raw: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
 
 
@@ -141,4 +142,4 @@
         dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
         settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1", raw=raw,
         mgmt=address_of("ROUTER_MGMT" if environ.get("ROUTER_MGMT") else "mgmt", mgmt) if mgmt else None,
-        inherited=int(fd) if fd else None)
+        inherited=int(fd) if fd else None, state_dir=environ.get("TMPDIR", ""))
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -73,6 +73,8 @@
             self.state.effects.append(m.TellHealth(message.client, message.call, not self.unready()))
         elif isinstance(message, m.Control):
             self.on_control(message)
+        elif isinstance(message, m.Handover):
+            self.on_handover(message)
         elif isinstance(message, m.ClientCame):
             self.clients.add(message.client)
         elif isinstance(message, m.ClientLost):
@@ -143,17 +145,29 @@
             fields = {"open": len(s.requests), "clients": len(self.clients)}
             s.log("service.out", f"out of service: clients are let go; {fields['open']} requests open, "
                   f"{fields['clients']} clients", "info", dict(fields))
-            s.effects.append(m.Release(True))
+            s.effects += [m.Release(True), m.Keep(False, s.now)]
         elif verb is m.Verb.IN and self.service.resume(s.now):
             s.log("service.in", f"in service again after {(s.now - since) / SECOND:.1f} s", "info",
                   {"out_s": round((s.now - since) / SECOND, 3)})
-            s.effects.append(m.Release(False))
+            s.effects += [m.Release(False), m.Keep(True, s.now)]
         why = self.unready()
         told: dict[str, object] = {"ready": not why, "service": self.service.mode.value}
         if why:
             told["why"] = why
         s.effects.append(m.Reply(call.caller, verb is not m.Verb.READY or not why, told))
 
+    def on_handover(self, handed: m.Handover) -> None:
+        """At the start: an operator's drain outlives the process that heard it."""
+        s = self.state
+        if handed.in_service is None:
+            if handed.why:
+                s.log("handover.refused", f"state of the last process not taken: {handed.why}", "warning",
+                      {"why": handed.why})
+        elif not handed.in_service and self.service.drain(handed.since_ns):
+            s.log("service.out", "out of service, as the last process was: clients are let go", "info",
+                  {"since_s": round((s.now - handed.since_ns) / SECOND, 3), "handed": True})
+            s.effects.append(m.Release(True))
+
     def on_rules(self, rules: m.Rules) -> None:
         """The operator's file was read.  Open requests keep what they were granted; one that may not be used
         changes nothing."""
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -170,6 +170,16 @@
     IN = "in-service"        # take them again
 
 
+@message
+class Handover:
+    """What the router's last process left at its state of service: in or out since a time; None where no
+    file was found (``why`` empty) or it could not be used (``why`` says why)."""
+
+    in_service: bool | None
+    since_ns: int = 0
+    why: str = ""
+
+
 @message
 class Control:
     """A call on the control address, from the caller with this number."""
@@ -228,7 +238,7 @@
 
 
 Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost,
-              Listening, Due, Terminate, Reload, Rules, Control]
+              Listening, Due, Terminate, Reload, Rules, Control, Handover]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -376,6 +386,14 @@
     fields: dict[str, object]
 
 
+@message
+class Keep:
+    """Leave the state of service for the router's next process (an upgrade)."""
+
+    in_service: bool
+    since_ns: int
+
+
 @message
 class Release:
     """Let clients go once nothing is owed them and nothing of theirs is half read (a drain), or keep them."""
@@ -389,4 +407,4 @@
 
 
 Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Move, Wake,
-               Log, StopAccepting, Reply, Release, Exit]
+               Log, StopAccepting, Reply, Keep, Release, Exit]
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -18,6 +18,7 @@
 from kelpcroft.net import control, front, listeners, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
+from kelpcroft.store import handover
 
 SECOND = 1_000_000_000
 READS = 2                    # buffers read from one connection before the others have their turn
@@ -151,7 +152,8 @@
     # Start and end ----------------------------------------------------------------------------------------
 
     def run(self, signals: int | None = None, first: m.Rules | None = None,
-            listener: socket.socket | None = None, mgmt: socket.socket | None = None) -> None:
+            listener: socket.socket | None = None, mgmt: socket.socket | None = None,
+            handed: m.Handover | None = None) -> None:
         """Serve until the reducer asks for the end, by the rules that are first given, on a listening socket
         that is handed over or else bound here to the address of the configuration; calls on the control
         address come on ``mgmt``, bound here where the configuration names one and none is given."""
@@ -159,6 +161,8 @@
         if signals is not None:
             self.selector.register(signals, selectors.EVENT_READ, None)
         self.carry_out(self.reducer.start(self.clock.now()))
+        if handed is not None:
+            self.tell(handed)
         if mgmt is None and self.config.mgmt is not None:
             mgmt = listeners.bound("mgmt", self.config.mgmt)
         if mgmt is not None:
@@ -350,6 +354,8 @@
                 caller = self.callers.get(e.caller)
                 if caller:
                     self.reply(caller, control.reply(e.ok, e.fields, caller.codec.head_only))
+            elif isinstance(e, m.Keep):
+                self.keep(e)
             elif isinstance(e, m.Release):
                 self.releasing = e.on
                 for client in list(self.clients.values()):
@@ -592,6 +598,20 @@
         except OSError:
             self.close(caller)
 
+    def keep(self, e: m.Keep) -> None:
+        """The state of service for the router's next process: written whole, then put in place."""
+        if not self.config.state_dir:
+            return
+        path = handover.path_of(self.config.state_dir, self.config.name)
+        data = handover.encode(self.config.name, os.getpid(), self.clock.now(), e.in_service, e.since_ns)
+        try:
+            with open(f"{path}.{os.getpid()}", "wb") as file:
+                file.write(data)
+            os.replace(f"{path}.{os.getpid()}", path)
+        except OSError as error:
+            self.log("handover.unwritten", f"state of service not left for the next process: {error}",
+                     {"why": str(error)}, "warning")
+
     # Draining ---------------------------------------------------------------------------------------------
 
     def let_go(self, client: Client) -> None:
--- a/tests/player.py
+++ b/tests/player.py
@@ -102,7 +102,7 @@
             return free.getsockname()[:2]  # type: ignore[no-any-return]
 
     def start(self, more: dict[str, str]) -> subprocess.Popen[bytes]:
-        env = {**os.environ, "ROUTER_CONFIG": str(self.path), **more}
+        env = {**os.environ, "ROUTER_CONFIG": str(self.path), "TMPDIR": self.folder.name, **more}
         if self.held:
             env["ROUTER_FD"] = str(self.held.fileno())
         self.programs.append(subprocess.Popen(
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -55,6 +55,10 @@
         """Both processes bound the clients' address: the second could not start while the first served."""
         Player(self, ONE, inherit=True).play("handover.txt")
 
+    def test_handover_of_a_drain(self) -> None:
+        """A drained router that was upgraded said yes at once, and took clients sent elsewhere."""
+        Player(self, ONE, inherit=True).play("handover_drained.txt")
+
     def test_planned_end(self) -> None:
         Player(self, ONE).play("planned_end.txt")
 
