--- /dev/null
+++ b/benchmarks/daily.py
@@ -0,0 +1,149 @@
+"""The control address and the drain, on loopback against the stand-ins.
+
+    python -m benchmarks.daily [CLIENTS]
+
+1. Answers of `GET /control/ready`: milliseconds (median, 99th percentile, most) of 200 calls while the router is
+   idle, while CLIENTS connections (16) keep it busy with requests, and while besides 32 callers each hold half a
+   call open; the ratios to idle, and the router's resident memory with and without the half calls.
+2. A drain under that load: each client sends a request as soon as the last is answered, on one kept connection, and
+   stops once the router closes it, as the front would send it elsewhere.  Milliseconds from the call to the last
+   close, requests served, refused, and lost (sent, never answered, and not crossing the close within 50 ms).
+
+The program is the one that `run` starts where KELPCROFT_FROM=.compiled/now, else the sources, in a release build.
+"""
+
+from __future__ import annotations
+
+import socket
+import statistics
+import sys
+import threading
+import time
+from pathlib import Path
+
+import msgpack
+
+from kelplab.standin import Router, World
+
+CALLS = 200
+HALF = 32
+READY = b"GET /control/ready HTTP/1.1\r\nHost: bench\r\n\r\n"
+OUT = b"PUT /control/out-of-service HTTP/1.1\r\nHost: bench\r\n\r\n"
+CROSS_S = 0.050              # a request sent so shortly before a close is sent again by the client
+
+
+def call(address: tuple[str, int], text: bytes) -> tuple[float, bytes]:
+    """One call on the control address: milliseconds to the whole answer, and its first line."""
+    began = time.monotonic()
+    with socket.create_connection(address, 5) as sock:
+        sock.sendall(text)
+        got = b""
+        while chunk := sock.recv(4096):
+            got += chunk
+    return (time.monotonic() - began) * 1000, got.split(b"\r\n", 1)[0]
+
+
+def rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class Load:
+    """Clients on kept connections, each with one request out at a time, until stopped or closed on."""
+
+    def __init__(self, router: Router, count: int) -> None:
+        self.router, self.stop = router, threading.Event()
+        self.served = self.refused = self.failed = self.lost = self.crossed = 0
+        self.closed_at: list[float] = []
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=self.run, args=(n,), daemon=True) for n in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, n: int) -> None:
+        sock = socket.create_connection(self.router.address, 5)
+        unpacker, number = msgpack.Unpacker(raw=False), 0
+        while not self.stop.is_set():
+            number += 1
+            fields = {"trace": f"{n:04x}{number:012x}", "patience": "2000", "entity": f"{number % 97:016x}",
+                      "block": "0", "family": "1"}
+            sent = time.monotonic()
+            try:
+                sock.sendall(msgpack.packb([0, number, "page", [fields, b""]]))
+                answer = None
+                while answer is None:
+                    for message in unpacker:
+                        answer = message
+                    if answer is None:
+                        data = sock.recv(65536)
+                        if not data:
+                            raise ConnectionError
+                        unpacker.feed(data)
+            except OSError:
+                with self.lock:
+                    self.closed_at.append(time.monotonic())
+                    if time.monotonic() - sent <= CROSS_S:
+                        self.crossed += 1
+                    else:
+                        self.lost += 1
+                return
+            with self.lock:
+                if answer[2] is None:
+                    self.served += 1
+                elif answer[2][0] == "Shed":
+                    self.refused += 1
+                else:
+                    self.failed += 1
+        sock.close()
+
+    def end(self) -> None:
+        self.stop.set()
+        for thread in self.threads:
+            thread.join(5)
+
+
+def figures(times: list[float]) -> tuple[float, float, float]:
+    ordered = sorted(times)
+    return statistics.median(ordered), ordered[int(0.99 * (len(ordered) - 1))], ordered[-1]
+
+
+def main() -> None:
+    clients = int(sys.argv[1]) if len(sys.argv) > 1 else 16
+    rows: dict[str, tuple[float, float, float]] = {}
+    with World() as world, Router(world, release=True, mgmt=True) as router:
+        router.client().ask("page")
+        pid = router.process.pid
+        rows["idle"] = figures([call(router.mgmt, READY)[0] for _ in range(CALLS)])
+        load = Load(router, clients)
+        time.sleep(0.5)
+        rows[f"{clients} busy clients"] = figures([call(router.mgmt, READY)[0] for _ in range(CALLS)])
+        plain = rss_mb(pid)
+        half = [socket.create_connection(router.mgmt, 5) for _ in range(HALF)]
+        for sock in half:
+            sock.sendall(READY[:20])
+        time.sleep(0.2)
+        rows[f"and {HALF} half calls"] = figures([call(router.mgmt, READY)[0] for _ in range(CALLS)])
+        held = rss_mb(pid)
+        for sock in half:
+            sock.close()
+        served_before = load.served
+        began = time.monotonic()
+        took, line = call(router.mgmt, OUT)
+        for thread in load.threads:
+            thread.join(10)
+        last = max(load.closed_at, default=began) - began
+        load.end()
+    idle = rows["idle"][0]
+    print(f"{'GET /control/ready':28} {'median':>8} {'p99':>8} {'most':>8} {'median/idle':>12}")
+    for name, (p50, p99, most) in rows.items():
+        print(f"{name:28} {p50:8.2f} {p99:8.2f} {most:8.2f} {p50 / idle:12.2f}")
+    print(f"resident memory: {plain:.1f} MB, with {HALF} half calls {held:.1f} MB (ratio {held / plain:.3f})")
+    print(f"drain: {line.decode()} in {took:.1f} ms; every connection closed {last * 1000:.0f} ms after the call; "
+          f"after it served {load.served - served_before}, refused {load.refused}, failed {load.failed}, "
+          f"crossed {load.crossed}, lost {load.lost}")
+
+
+if __name__ == "__main__":
+    main()
--- a/kelplab/standin.py
+++ b/kelplab/standin.py
@@ -319,13 +319,15 @@
         program: Path = PROGRAM,
         release: bool = False,
         settings: dict[str, Any] | None = None,
+        mgmt: bool = False,
     ) -> None:
+        """``mgmt``: with a control address, at ``self.mgmt``."""
         self.folder = tempfile.TemporaryDirectory()
         self.rules = Path(self.folder.name) / "rules.kdl"
         self.log_path = Path(self.folder.name) / "log"
         example = json.loads((ROOT / "examples/config.json").read_bytes())
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = free.getsockname()[:2]
+        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
+            self.address, self.mgmt = free.getsockname()[:2], other.getsockname()[:2]
         config = {
             **example,
             "listen": f"127.0.0.1:{self.address[1]}",
@@ -333,6 +335,8 @@
             "known": {"n": 1, "events": [world.members()]},
         }
         config["settings"] = {**config["settings"], **(settings or {})}
+        if mgmt:
+            config["mgmt"] = f"127.0.0.1:{self.mgmt[1]}"
         (Path(self.folder.name) / "config.json").write_text(json.dumps(config))
         env = {**os.environ, "ROUTER_CONFIG": f"{self.folder.name}/config.json", "ROUTER_LOG": "json"}
         env.pop("ROUTER_RULES", None)
