--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -2,14 +2,16 @@
 
     python -m benchmarks.daily [CLIENTS]
 
-1. Answers of `GET /control/ready`: milliseconds (median, 99th percentile, most) of 200 calls while the router is
-   idle, while CLIENTS connections (16) keep it busy with requests, and while besides 32 callers each hold half a
-   call open; the ratios to idle, and the router's resident memory with and without the half calls.
-2. A drain under that load: each client sends a request as soon as the last is answered, on one kept connection, and
-   stops once the router closes it, as the front would send it elsewhere.  Milliseconds from the call to the last
-   close, requests served, refused, and lost (sent, never answered, and not crossing the close within 50 ms).
-
-The program is the one that `run` starts where KELPCROFT_FROM=.compiled/now, else the sources, in a release build.
+1. Answers of `GET /control/ready`: milliseconds (median, 99th percentile, most) of 200 calls while the router
+   is idle, while CLIENTS connections (16) keep it busy with requests, and while besides 32 callers each hold
+   half a call open; the ratios to idle, and the router's resident memory with and without the half calls.
+2. A drain under that load: each client sends a request as soon as the last is answered, on one kept
+   connection, and stops once the router closes it, as the front would send it elsewhere.  Milliseconds from
+   the call to the last close, requests served, refused, and lost (sent, never answered, and not crossing the
+   close within 50 ms).
+
+The program is the one that `run` starts where KELPCROFT_FROM=.compiled/now, else the sources, in a release
+build.
 """
 
 from __future__ import annotations
@@ -140,7 +142,7 @@
     for name, (p50, p99, most) in rows.items():
         print(f"{name:28} {p50:8.2f} {p99:8.2f} {most:8.2f} {p50 / idle:12.2f}")
     print(f"resident memory: {plain:.1f} MB, with {HALF} half calls {held:.1f} MB (ratio {held / plain:.3f})")
-    print(f"drain: {line.decode()} in {took:.1f} ms; every connection closed {last * 1000:.0f} ms after the call; "
+    print(f"drain: {line.decode()} in {took:.1f} ms; every connection closed {last * 1000:.0f} ms after it; "
           f"after it served {load.served - served_before}, refused {load.refused}, failed {load.failed}, "
           f"crossed {load.crossed}, lost {load.lost}")
 
