Read into one buffer of the loop's own, and ask a broken feed again after waits that double

Reads need one buffer at a time and codecs copy what they keep, so the loop now has one of its own. A feed that kept failing was asked every 25 ms; the waits now double to 400 ms, well inside the 7 s after which the feed counts as told, and the list known so far is kept. tests/test_size.py: both fail without their change; requests in pieces of any size; a client read at 1 MB/s holds no more buffers than it is owed and gives them back.

--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -11,7 +11,8 @@
 from kelpcroft.messages import Timer
 from zincgrade import interface as api
 
-FEED_AGAIN_NS = 25 * MS      # after a failed poll that followed another failed one
+FEED_AGAIN_NS = 25 * MS      # after a failed poll that followed another failed one, doubling with each ...
+FEED_AGAIN_MOST_NS = 400 * MS  # ... up to this: what the feed tells counts as told 7 s later at the latest
 
 
 def concerns(purge: m.Purge, attempt: Attempt) -> bool:
@@ -91,12 +92,15 @@
             self.attempts.rest(link)
 
     def on_feed_lost(self, lost: m.FeedLost) -> None:
+        """A poll failed: the list and purges known so far stay as they are, and the feed is asked again at
+        once, then after waits that double from FEED_AGAIN_NS to FEED_AGAIN_MOST_NS until an answer comes."""
         self.feed_failures += 1
         if self.feed_failures == 1:
             self.state.log("feed.lost", f"feed: {lost.why}", "warning", {"why": lost.why})
             self.state.effects.append(m.Poll(self.seen))
         else:
-            self.state.wake(FEED_AGAIN_NS, Timer.FEED)
+            wait = FEED_AGAIN_NS << min(self.feed_failures - 2, 8)
+            self.state.wake(min(wait, FEED_AGAIN_MOST_NS), Timer.FEED)
 
     def move(self, feed: tuple[str, int]) -> str:
         """A file read again may name another address of the feed.  Its numbers go on, so nothing is told
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -129,7 +129,8 @@
         self.feed_at = config.feed
         self.reducer = Reducer(config)
         self.selector = selectors.DefaultSelector()
-        self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)
+        self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)  # of unwritten bytes
+        self.scratch = bytearray(SIZE)       # what is read, one connection at a time
         self.clients: dict[int, Client] = {}
         self.servers: dict[int, Server] = {}
         self.feed: Feed | None = None
@@ -497,10 +498,9 @@
         if isinstance(peer, Caller):
             self.hear(peer)
             return
-        buffer = self.pool.take()
-        if buffer is None:
-            self.lose(peer, "no buffer to read into")
-            return
+        # One buffer of the loop's own: codecs copy what they keep, so it is free again when this returns, and
+        # clients that do not read, whose answers hold the pool, cannot keep anyone from being read.
+        buffer = self.scratch
         try:
             for _ in range(READS):
                 got = peer.sock.recv_into(buffer)
@@ -516,8 +516,6 @@
             self.lose(peer, f"malformed: {error}")
         except OSError as error:
             self.lose(peer, error.strerror or str(error))
-        finally:
-            self.pool.give(buffer)
 
     def take_in(self, peer: Peer, data: memoryview) -> None:
         """Bytes to their codec, what it makes of them to the reducer."""
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,116 @@
+"""Peers that write in pieces, clients that read slowly, and a feed that breaks off."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+import msgpack
+from player import EXAMPLE
+from test_parts import GOOD, NOW, TRACE, router
+
+from kelpcroft import messages as m
+from kelpcroft.config import parse
+from kelpcroft.core.members import FEED_AGAIN_MOST_NS, FEED_AGAIN_NS
+from kelpcroft.net.buffers import SIZE
+from kelpcroft.net.front import FrontCodec
+from kelpcroft.net.loop import SLOW_BYTES, Client, Clock, Loop, Server
+
+
+def pair(case: unittest.TestCase, size: int = 0) -> tuple[socket.socket, socket.socket]:
+    ours, theirs = socket.socketpair()
+    for sock in (ours, theirs):
+        case.addCleanup(sock.close)
+        if size:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    ours.setblocking(False)
+    return ours, theirs
+
+
+class Pieces(unittest.TestCase):
+    def test_a_request_in_pieces_of_any_size(self) -> None:
+        fields = {"trace": TRACE, "patience": "900", "entity": TRACE, "block": "2", "family": "3"}
+        data = b"".join(msgpack.packb([0, n, "page", [fields | {"trace": f"{n:016x}"}, b"x" * n]])
+                        for n in range(1, 4))
+        whole = FrontCodec(1, SIZE).feed(memoryview(data))
+        for size in (1, 2, 3, 7, 64):
+            codec, found = FrontCodec(1, SIZE), []
+            for at in range(0, len(data), size):
+                found += codec.feed(memoryview(data)[at:at + size])
+            with self.subTest(size=size):
+                self.assertEqual(found, whole)
+                self.assertFalse(codec.partial())
+
+
+class SlowReaders(unittest.TestCase):
+    def loop(self) -> Loop:
+        loop = Loop(parse(EXAMPLE, {"ROUTER_NAME": "n1"}), Clock(lambda: NOW))
+        self.addCleanup(loop.selector.close)
+        loop.reducer.start(NOW)
+        return loop
+
+    def test_a_full_pool_keeps_nobody_from_being_read(self) -> None:
+        """Answers owed to clients that read nothing took every pooled buffer; the next server to answer
+        lost its connection for want of a buffer to read into, and all that was out on it."""
+        loop = self.loop()
+        while loop.pool.take() is not None:
+            pass
+        ours, theirs = pair(self)
+        server = loop.servers[1] = Server(1, ours, loop.pool, NOW)
+        theirs.sendall(GOOD)
+        loop.read(server)
+        self.assertIn(1, loop.servers)
+        self.assertEqual(server.codec.fault, "")
+
+    def test_a_client_read_at_a_megabyte_a_second_holds_a_bounded_backlog(self) -> None:
+        """What a slow client does not take waits in pooled buffers, never more than it is owed; past
+        SLOW_BYTES nothing more is read from it, and as it reads, the buffers go back."""
+        loop = self.loop()
+        ours, theirs = pair(self, 64 * 1024)
+        client = loop.clients[1] = Client(1, ours, loop.pool, NOW)
+        owed = 8 * 240_000
+        for n in range(8):
+            loop.answer(1, (bytes([n]) * 240_000,))
+        loop.flush()
+        most = loop.pool.out
+        self.assertLessEqual(most * SIZE, owed + SIZE)
+        self.assertGreater(client.backlog.size(), SLOW_BYTES)
+        self.assertEqual(loop.wanted(client) & 1, 0, "not read while it holds so much")
+        got = b""
+        tick = 0
+        while len(got) < owed:
+            tick += 1                              # a tick is 1/16 s: 64 KB of the 1 MB a second
+            try:
+                got += theirs.recv(64 * 1024, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                pass
+            loop.write(client)
+            self.assertLessEqual(loop.pool.out, most)
+        self.assertEqual(got, b"".join(bytes([n]) * 240_000 for n in range(8)))
+        self.assertEqual((loop.pool.out, client.backlog.size()), (0, 0))
+        self.assertEqual(loop.wanted(client), 1, "read again")
+        self.assertLess(tick, 4 * owed // (64 * 1024))
+
+
+class Feed(unittest.TestCase):
+    def test_a_feed_that_breaks_off_is_asked_again_sooner_than_the_rule_needs(self) -> None:
+        r = router()
+        first = r.handle(NOW, m.FeedLost("reset"))
+        self.assertEqual([e for e in first if isinstance(e, m.Poll)], [m.Poll(r.members.seen)])
+        waits = []
+        for n in range(1, 9):
+            (wake,) = [e for e in r.handle(NOW + n, m.FeedLost("refused")) if isinstance(e, m.Wake)]
+            waits.append(wake.at_ns - NOW - n)
+        self.assertEqual(waits[:4], [FEED_AGAIN_NS, 2 * FEED_AGAIN_NS, 4 * FEED_AGAIN_NS, 8 * FEED_AGAIN_NS])
+        self.assertEqual(max(waits), FEED_AGAIN_MOST_NS)
+        listed = len(r.state.endpoints)
+        self.assertGreater(listed, 0, "what was known is kept")
+        r.handle(NOW + 10, m.News(r.members.seen, ()))
+        (wake,) = [e for e in r.handle(NOW + 11, m.FeedLost("x")) + r.handle(NOW + 12, m.FeedLost("x"))
+                   if isinstance(e, m.Wake)]
+        self.assertEqual(wake.at_ns - NOW - 12, FEED_AGAIN_NS, "an answer starts the waits over")
+
+
+if __name__ == "__main__":
+    unittest.main()
