Check the operator's file read at SIGHUP against the classes in use, not those of the start

Found by reading the SIGHUP path again: the operator's file was bound to the start's settings, so a file naming a class that came with the same SIGHUP was refused ('rules.refused'), and the router went on with the old bounds. The loop now hands the reader the settings in use. tests/test_retune.py Program: a new class and a route for it in one SIGHUP are taken and served; it fails without this.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -57,7 +57,7 @@
         except ConfigError as error:
             print(error, file=sys.stderr)
             return 2
-        rules = partial(steps, os.environ["ROUTER_RULES"], config.settings)
+        rules = partial(steps, os.environ["ROUTER_RULES"])
     try:
         listener = (listeners.adopt(config.inherited) if config.inherited is not None
                     else listeners.bound("listen", config.listen))
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -19,6 +19,7 @@
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
 from kelpcroft.store import handover
+from zincgrade.interface import Settings
 
 SECOND = 1_000_000_000
 READS = 2                    # buffers read from one connection before the others have their turn
@@ -119,7 +120,8 @@
     """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
 
     def __init__(self, config: Config, clock: Clock, reload: Callable[[], m.Reload] | None = None,
-                 rules: Callable[[], Iterator[m.Rules | None]] | None = None, events: EventLog | None = None
+                 rules: Callable[[Settings], Iterator[m.Rules | None]] | None = None,
+                 events: EventLog | None = None
                  ) -> None:
         self.config, self.clock = config, clock
         self.reload = reload or (lambda: m.Reload("", None, "there is no file"))
@@ -260,7 +262,8 @@
         """SIGHUP has the configuration read again, the others end the program."""
         if signal.SIGHUP in numbers:
             self.tell(self.reload())
-            self.reading = self.rules() if self.rules else None
+            # Checked against the classes now in use: those of a configuration just read are among them.
+            self.reading = self.rules(self.reducer.state.settings) if self.rules else None
         if any(number != signal.SIGHUP for number in numbers):
             self.tell(m.Terminate())
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -5,6 +5,7 @@
 
 import copy
 import unittest
+from pathlib import Path
 from typing import Any
 
 import kit
@@ -17,6 +18,7 @@
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.core.state import MS, SECOND
 from kelpcroft.retune import PASSAGE_NS, check, decode, difference, passage, settled
+from kelplab.standin import Router, World
 from zincgrade import interface as api
 from zincgrade.interface import Outcome
 
@@ -194,5 +196,21 @@
         self.assertEqual(len(kit.fetches(kit.end(p, S + 3 * MS, second, Outcome.ERROR, attempt=1))), 1)
 
 
+class Program(unittest.TestCase):
+    def test_the_operators_file_may_name_a_class_that_came_with_the_same_sighup(self) -> None:
+        """The file was checked against the classes of the start, and refused for naming the new one."""
+        rules = ('kelpcroft version=1\nroute "fresh" {{ match class="{}"; attempts most=1; }}\n'
+                 'route "rest" {{ match; }}\n')
+        with World() as world, Router(world, rules.format("page")) as router:
+            router.client().ask("page")
+            config = Path(router.folder.name) / "config.json"
+            raw = orjson.loads(config.read_bytes())
+            raw["settings"]["classes"].append({**raw["settings"]["classes"][0], "name": "fresh"})
+            config.write_bytes(orjson.dumps(raw))
+            told = router.reload(rules.format("fresh"))
+            self.assertEqual(told["event"], "rules.taken", told)
+            self.assertEqual(router.client().ask("fresh").kind, "served")
+
+
 if __name__ == "__main__":
     unittest.main()
