--- a/kelpcroft/cli/check.py
+++ b/kelpcroft/cli/check.py
@@ -7,7 +7,7 @@
 from kelpcroft.cli.common import as_json, config_option, faults_of, format_option, no, settings_of
 
 
-@click.command(epilog="Example:  kelpcroft check deploy/tt-kits.kdl --config examples/config.json")
+@click.command(epilog="Example:  kelpcroft check examples/operator.kdl --config examples/config.json")
 @click.argument("file")
 @config_option()
 @format_option
--- a/kelpcroft/cli/diff.py
+++ b/kelpcroft/cli/diff.py
@@ -2,13 +2,35 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from itertools import product
+
 import click
 
 from kelpcroft.cli.common import Unfit, as_json, config_option, format_option, good, no, settings_of
-from kelpcroft.operator.explain import Change, differences
+from kelpcroft.operator.explain import differences
+from kelpcroft.operator.model import Match
+from zincgrade.interface import Effect, RequestClass
+
+
+def supposed(matches: list[Match]) -> list[tuple[str, RequestClass]]:
+    """Classes to compare by where no deployment is given, with what to call them: those that are named and
+    one that is not, of each effect, written through or not, in parts or not, as far as the files ask."""
+    effects = list(Effect) if any(m.effects for m in matches) else [Effect.SAFE]
+    through = (False, True) if any(m.through is not None for m in matches) else (False,)
+    parts = (False, True) if any(m.multipart is not None for m in matches) else (False,)
+    found = []
+    for name in [*sorted({c for m in matches for c in m.classes}), "any other"]:
+        for effect, uncacheable, multi in product(effects, through, parts):
+            words = [effect.value] * (len(effects) > 1) + ["through"] * uncacheable + ["multipart"] * multi
+            label = name + (f" ({', '.join(words)})" if words else "")
+            found.append((label, RequestClass(name, effect, uncacheable=uncacheable, in_parts=multi)))
+    return found
 
 
-@click.command(epilog="Example:  kelpcroft diff deploy/tt-kits.kdl new.kdl --config examples/config.json")
+@click.command(
+    epilog="Example:  kelpcroft diff deploy/routes.kdl examples/operator.kdl --config examples/config.json"
+)
 @click.argument("old")
 @click.argument("new")
 @config_option()
@@ -23,15 +45,16 @@
     settings = settings_of(config) if config else None
     before, after = good(old, settings), good(new, settings)
     if settings:
-        classes = [c.name for c in settings.classes]
+        classes = [(c.name, c) for c in settings.classes]
     else:
-        classes = sorted({c for f in (before, after) for r in f.routes for c in r.match.classes}) + [
-            "any other"
-        ]
+        classes = supposed([r.match for f in (before, after) for r in f.routes])
     try:
-        found: list[Change] = list(
-            differences(before, after, zone or (settings.zone if settings else ""), classes)
-        )
+        here = zone or (settings.zone if settings else "")
+        found = [
+            replace(change, cls=label)
+            for label, cls in classes
+            for change in differences(before, after, here, [cls])
+        ]
     except ValueError as error:
         raise Unfit(str(error)) from error
     if form == "json":
--- a/kelpcroft/cli/explain.py
+++ b/kelpcroft/cli/explain.py
@@ -14,7 +14,7 @@
 
 
 @click.command(
-    epilog="Example:  kelpcroft explain deploy/tt-kits.kdl --config examples/config.json "
+    epilog="Example:  kelpcroft explain examples/operator.kdl --config examples/config.json "
     "--class page --part 9"
 )
 @click.argument("file")
@@ -37,7 +37,7 @@
         raise Unfit(f"--class: there is no class {cls!r}{instead(cls, known)}")
     if not re.fullmatch(r"[0-9a-f]{16}", item):
         raise Unfit(f"--object: {item!r} is not 16 hex digits in lower case")
-    route = route_of(good(file, settings), settings.zone, Asked(cls, item, part, group, retry, write))
+    route = route_of(good(file, settings), settings.zone, Asked(known[cls], item, part, group, retry, write))
     if route is None:
         as_json({"route": None}) if form == "json" else click.echo(
             "no route takes it: the file bounds nothing"
--- a/kelpcroft/cli/serve.py
+++ b/kelpcroft/cli/serve.py
@@ -8,7 +8,7 @@
 import click
 
 
-@click.command(epilog="Example:  kelpcroft serve --config examples/config.json --file deploy/tt-kits.kdl")
+@click.command(epilog="Example:  kelpcroft serve --config examples/config.json --file examples/operator.kdl")
 @click.option("--config", metavar="CONFIG", help="The JSON configuration; else $ROUTER_CONFIG.")
 @click.option("--file", metavar="FILE", help="The operator's file; else $ROUTER_RULES, else none.")
 @click.option("--name", help="Its name; else $ROUTER_NAME, else the configuration's.")
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -287,7 +287,8 @@
             link=attempt.link.number, id=c.trace, cls=c.cls, object=c.object, part=c.part,
             limit_ms=max(1, (due - self.state.now) // MS), source="" if f.source == f.cache else f.source,
             rank=f.rank, age_limit_ms=max(1, f.max_age_ns // MS) if f.max_age_ns else 0, join=f.join,
-            held_only=f.held_only, no_parent_copy=f.no_parent_copy, renew=f.renew, tag=c.tag, body=c.body))
+            held_only=f.held_only, no_parent_copy=f.no_parent_copy, renew=f.renew, tag=c.tag, body=c.body,
+            nonce=c.nonce))
 
     def link_for(self, server: str, request: Request | None, id: str = "") -> Link | None:
         """A connection for one more, opened if need be.  What must not run twice goes out on one of its own:
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -26,7 +26,8 @@
                 c.client, f"call {c.call} is open already" if c.call in here else "too many calls open"))
             return
         cls = self.state.classes.get(c.cls)
-        if cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces:
+        if (c.fault or cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces
+                or cls.effect is api.Effect.KEYED and not c.nonce):
             self.state.tally["not usable"] += 1
             self.state.effects.append(m.Break(c.client, c.call))
             return
@@ -37,7 +38,7 @@
         self.state.made += 1
         routes, patience, grant = self.state.routes, c.patience_ns, None
         if routes is not None:
-            grant = routes.take(self.state.now, c.cls, c.object, c.group, c.part_number, c.retry,
+            grant = routes.take(self.state.now, cls, c.object, c.group, c.part_number, c.retry,
                                 len(c.body) > 0, patience, c.waited_ns)
             if grant is not None:
                 patience = grant.wait_ns
@@ -51,7 +52,7 @@
                              patience=c.patience_ns, retry=c.retry)
         self.state.events.append(api.Request(
             id=request.id, cls=c.cls, patience_ns=patience, object=c.object_number, part=c.part_number,
-            group=c.group, write=len(c.body) > 0, retry=c.retry,
+            group=c.group, size_kb=c.size_kb, write=len(c.body) > 0, retry=c.retry,
             bounds=None if grant is None else grant.bounds))
 
     def finish(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -47,6 +47,9 @@
     tag: str                 # of the copy that the client holds; "" = none
     body: Body
     waited_ns: int = 0       # of the client's patience, gone before this was read
+    nonce: str = ""          # the idempotency key, passed on as it came; "" = none
+    size_kb: float = 0.0     # of the part, as the settings count; 0 = not told
+    fault: str = ""          # why it cannot be used, though it could be read
 
 
 @message
@@ -315,6 +318,7 @@
     renew: bool
     tag: str
     body: Body
+    nonce: str = ""
 
 
 @message
--- a/kelpcroft/net/front.py
+++ b/kelpcroft/net/front.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+import re
+from collections.abc import Iterable
 from typing import Any
 
 import msgpack
@@ -17,6 +20,9 @@
 PART_MOST, GROUP_MOST = 9_999, 255
 PATIENCE_MOST_MS = 60_000
 CANCELS_MOST = 1_024         # calls in one cancel
+NONCE_MOST = 128             # characters of an idempotency key
+NONCE = re.compile(rf"[!-+\--<>-~]{{1,{NONCE_MOST}}}")  # visible ASCII but for what parts servers' fields
+SIZE_MOST_KB = 1e9
 HEX = frozenset("0123456789abcdef")
 EMPTY_MAP, SAME = b"\x80", msgpack.packb({"keep": "1"})
 
@@ -25,6 +31,17 @@
     """Bytes that are no message of this protocol."""
 
 
+class Fields(dict[Any, Any]):
+    """A map as it came, which knows of a key that stood in it twice: a dict keeps the last one only."""
+
+    __slots__ = ("twice",)
+
+    def __init__(self, pairs: Iterable[tuple[Any, Any]]) -> None:
+        found = list(pairs)
+        super().__init__(found)
+        self.twice = len(self) < len(found) and [k for k, _ in found].count("nonce") > 1
+
+
 class FrontCodec:
     """One client's connection."""
 
@@ -34,7 +51,7 @@
         self.unpacker = msgpack.Unpacker(
             raw=False, read_size=4_096, max_buffer_size=MESSAGE_MOST + read_size,
             max_str_len=TEXT_MOST, max_bin_len=BODY_MOST, max_array_len=CANCELS_MOST,
-            max_map_len=FIELDS_MOST, max_ext_len=0)
+            max_map_len=FIELDS_MOST, max_ext_len=0, object_pairs_hook=Fields)
 
     def feed(self, data: memoryview, waited_ns: int = 0) -> list[Call | CallOff | AskHealth]:
         """The messages that these bytes complete.  Patience counts from the client's send: what they may have
@@ -90,12 +107,37 @@
         if not patience_ms:
             raise FrontError("patience: is 0")
         number = self.count(fields, "block", "0", PART_MOST)
+        nonce, fault = self.nonce(fields)
         return Call(
             client=self.client, call=call, cls=cls, trace=trace,
             patience_ns=patience_ms * NS_PER_MS - self.waited_ns,
             object=item, part=str(number), object_number=int(item, 16), part_number=number,
             group=self.count(fields, "family", "0", GROUP_MOST), retry=fields.get("redo") == "1", tag=tag,
-            body=body.encode() if isinstance(body, str) else body, waited_ns=self.waited_ns)
+            body=body.encode() if isinstance(body, str) else body, waited_ns=self.waited_ns,
+            nonce=nonce, size_kb=self.size(fields), fault=fault)
+
+    @staticmethod
+    def nonce(fields: dict[str, Any]) -> tuple[str, str]:
+        """The idempotency key, and why the request cannot be used where the key cannot: a server that read
+        another key than the client meant would run a repeat as a new request."""
+        text = fields.get("nonce")
+        if text is None and "nonce" not in fields:
+            return "", ""
+        if getattr(fields, "twice", False):
+            return "", "nonce: stands twice"
+        if not isinstance(text, str) or not NONCE.fullmatch(text):
+            return "", f"nonce: {str(text)[:40]!r} is not 1 to {NONCE_MOST} visible characters but , and ="
+        return text, ""
+
+    @staticmethod
+    def size(fields: dict[str, Any]) -> float:
+        """The part's size in KB as the settings count; one that cannot be used is as none: it only helps."""
+        text = fields.get("size")
+        try:
+            found = float(text) if isinstance(text, str) and len(text) <= 32 else 0.0
+        except ValueError:
+            return 0.0
+        return found if math.isfinite(found) and 0 < found <= SIZE_MOST_KB else 0.0
 
     @staticmethod
     def hexadecimal(fields: dict[str, Any], key: str) -> str:
--- a/kelpcroft/net/shelf.py
+++ b/kelpcroft/net/shelf.py
@@ -49,6 +49,8 @@
 def pull(p: Pull) -> list[Body]:
     """An attempt."""
     fields = [f"cls={p.cls}", f"item={p.object}", f"chunk={p.part}", f"limit={p.limit_ms}"]
+    if p.nonce:
+        fields.append(f"nonce={p.nonce}")
     if p.source:
         fields.append(f"next={p.source}")
     if p.rank:
--- a/kelpcroft/operator/boxes.py
+++ b/kelpcroft/operator/boxes.py
@@ -69,7 +69,7 @@
     """What is left of each class, while routes are added in order."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.zone = settings.zone
+        self.zone, self.classes = settings.zone, settings.classes
         self.left: dict[str, list[Box]] = {c.name: [WHOLE] for c in settings.classes}
         self.taken: dict[str, list[tuple[str, Box]]] = {c.name: [] for c in settings.classes}
         self.cuts = 0
@@ -78,7 +78,7 @@
 
     def add(self, route: Route) -> set[str]:
         """Classes of which this route takes something.  Empty for one that can never match."""
-        names = tuple(dict.fromkeys(route.match.classes)) or tuple(self.left)
+        names = tuple(c.name for c in self.classes if route.match.fits(c))
         if not self.here(route):
             return set(names)                # another zone's: what is left there is not known here
         taken: set[str] = set()
@@ -88,7 +88,8 @@
             if self.given_up:
                 if left:
                     taken.add(name)
-                if replace(route.match, classes=(), zones=()).rest():
+                m = route.match
+                if replace(m, classes=(), zones=(), effects=(), through=None, multipart=None).rest():
                     self.left[name] = []
                 continue
             for box in mine:
--- a/kelpcroft/operator/check.py
+++ b/kelpcroft/operator/check.py
@@ -168,6 +168,8 @@
     for route in file.routes:
         yield
         takes = cover.add(route)
+        if not takes and waits(route, file, settings):
+            continue
         if not takes:
             earlier = cover.takers
             names = ", ".join(shown(name) for name in earlier[:3])
@@ -189,6 +191,15 @@
                        "add a last route with an empty match, route \"rest\" { match }")
 
 
+def waits(route: Route, file: File, settings: api.Settings) -> bool:
+    """Whether a route that takes nothing is there for classes of another deployment: it matches by what a
+    class is and none here is that, or it takes the rest behind routes that match so."""
+    m = route.match
+    if m.rest():
+        return any(other.match.kinds() for other in file.routes)
+    return m.kinds() and not m.classes and not any(map(m.fits, settings.classes))
+
+
 def deployment_rules(route: Route, settings: api.Settings, faults: Faults) -> None:
     """A route against the limits of the deployment."""
     b, owner, limits = route.bounds, f"route {shown(route.name)}", settings.limits
--- a/kelpcroft/operator/explain.py
+++ b/kelpcroft/operator/explain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from kelpcroft.operator.boxes import WHOLE, Box, boxes, cut, meets
@@ -20,7 +20,7 @@
 class Asked:
     """One request, as far as routes look at it."""
 
-    cls: str
+    cls: api.RequestClass
     object: str = "0" * 16
     part: int = 0
     group: int = 0
@@ -118,12 +118,12 @@
     what: tuple[str, ...]  # bounds that differ, in words
 
 
-def regions(file: File, zone: str, cls: str) -> list[tuple[Box, Route | None]]:
+def regions(file: File, zone: str, cls: api.RequestClass) -> list[tuple[Box, Route | None]]:
     """A class cut into disjoint boxes, each with its first route."""
     left, found = [WHOLE], []
     for route in file.routes:
         m = route.match
-        if m.classes and cls not in m.classes or m.zones and zone not in m.zones:
+        if not m.fits(cls) or m.zones and zone not in m.zones:
             continue
         for box in boxes(route):
             hit = [b for b in left if meets(b, box)]
@@ -134,7 +134,9 @@
                 found.append((common(b, box), route))
                 left.extend(cut(b, box))
         if len(left) + len(found) > REGIONS_MOST:
-            raise ValueError(f"class {cls!r} falls into over {REGIONS_MOST} pieces; compare smaller files")
+            raise ValueError(
+                f"class {cls.name!r} falls into over {REGIONS_MOST} pieces; compare smaller files"
+            )
     return found + [(b, None) for b in left]
 
 
@@ -180,7 +182,7 @@
     return found
 
 
-def differences(old: File, new: File, zone: str, classes: list[str]) -> Iterator[Change]:
+def differences(old: File, new: File, zone: str, classes: Iterable[api.RequestClass]) -> Iterator[Change]:
     """Which requests of these classes are treated differently.  Raises ValueError for files in too many
     pieces."""
     old_budgets, new_budgets = ({b.name: b for b in file.budgets} for file in (old, new))
@@ -188,7 +190,7 @@
         merged: dict[tuple[str, str, tuple[str, ...]], list[str]] = {}
         before, after = regions(old, zone, cls), regions(new, zone, cls)
         if len(before) * len(after) > 50 * REGIONS_MOST:
-            raise ValueError(f"class {cls!r} falls into too many pieces; compare smaller files")
+            raise ValueError(f"class {cls.name!r} falls into too many pieces; compare smaller files")
         for box, a in before:
             mine = said(a, old_budgets)
             for other, b in after:
@@ -205,4 +207,4 @@
                     merged.setdefault(key, []).append(words_of(common(box, other)))
         for (old_name, new_name, what), where in merged.items():
             more = f" and {len(where) - 4} more" if len(where) > 4 else ""
-            yield Change(cls, "; ".join(where[:4]) + more, old_name, new_name, what)
+            yield Change(cls.name, "; ".join(where[:4]) + more, old_name, new_name, what)
--- a/kelpcroft/operator/model.py
+++ b/kelpcroft/operator/model.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 
 from kelpcroft.operator.faults import Place
+from zincgrade.interface import RequestClass
 
 Range = tuple[int, int]      # both ends included
 GROUPS: Range = (0, 255)
 PARTS: Range = (0, 9_999)
+EFFECTS = ("safe", "keyed", "unsafe")
 OUTCOMES = ("error", "reset", "timeout")  # may have run; what proves that nothing ran is a move
 
 
@@ -75,6 +77,20 @@
     zones: tuple[str, ...] = ()
     retry: bool | None = None
     write: bool | None = None
+    effects: tuple[str, ...] = ()          # what a class is, whatever it is called: see ``fits``
+    through: bool | None = None
+    multipart: bool | None = None
+
+    def kinds(self) -> bool:
+        """Whether it asks what a class is."""
+        return bool(self.effects) or self.through is not None or self.multipart is not None
+
+    def fits(self, cls: RequestClass) -> bool:
+        """Whether it takes requests of a class: by its name, its effect, whether it runs at the origin and
+        leaves no copy, and whether its objects have parts."""
+        return ((not self.classes or cls.name in self.classes)
+                and (not self.effects or cls.effect.value in self.effects)
+                and self.through in (None, cls.uncacheable) and self.multipart in (None, cls.in_parts))
 
     def rest(self) -> bool:
         """Whether it takes whatever comes."""
--- a/kelpcroft/operator/reader.py
+++ b/kelpcroft/operator/reader.py
@@ -9,6 +9,7 @@
 from kelpcroft.operator import values
 from kelpcroft.operator.faults import Faults, instead, shown
 from kelpcroft.operator.model import (
+    EFFECTS,
     GROUPS,
     OUTCOMES,
     PARTS,
@@ -184,13 +185,17 @@
         return Route(name, match, self.bounds(item), self.faults.place(item.place), self.faults.place(place))
 
     def match(self, item: Item) -> Match:
-        self.form(item, 0, ("class", "group", "object", "part", "zone", "retry", "write"))
+        self.form(item, 0, ("class", "group", "object", "part", "zone", "retry", "write", "effect", "through",
+                           "multipart"))
         return Match(
             classes=tuple(self.prop(item, "class", values.words) or ()),
             groups=self.ranges(item, "group", GROUPS), parts=self.ranges(item, "part", PARTS),
             objects=tuple(self.prop(item, "object", self.objects) or ()),
             zones=tuple(self.prop(item, "zone", values.words) or ()),
-            retry=self.prop(item, "retry", values.flag), write=self.prop(item, "write", values.flag))
+            retry=self.prop(item, "retry", values.flag), write=self.prop(item, "write", values.flag),
+            effects=tuple(self.prop(item, "effect", self.effects) or ()),
+            through=self.prop(item, "through", values.flag),
+            multipart=self.prop(item, "multipart", values.flag))
 
     def ranges(self, item: Item, key: str, whole: Range) -> tuple[Range, ...]:
         def read(raw: Value) -> tuple[Range, ...]:
@@ -199,6 +204,15 @@
             return tuple(values.span(word, whole) for word in values.words(raw, "a range"))
         return self.prop(item, key, read) or ()
 
+    @staticmethod
+    def effects(raw: Value) -> list[str]:
+        found = values.words(raw)
+        for word in found:
+            if word not in EFFECTS:
+                raise Unusable("unknown-effect", f"there is no effect {shown(word)}{instead(word, EFFECTS)}; "
+                               f"there are {', '.join(EFFECTS)}")
+        return found
+
     @staticmethod
     def objects(raw: Value) -> list[str]:
         found = values.words(raw, "hex digits")
--- a/kelpcroft/routes/index.py
+++ b/kelpcroft/routes/index.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Sequence
 
 from kelpcroft.operator.model import GROUPS, PARTS, Range, Route
+from zincgrade.interface import RequestClass
 
 NOBODY = 0xFFFFFFFF
 Placed = list[tuple[int, Route]]  # with their places in the file
@@ -87,12 +88,13 @@
     """Routes for one class, retry and write: by length of prefix, then by prefix.  Planes are laid out when
     they are first wanted; their number is bounded by the file."""
 
-    def __init__(self, by_prefix: dict[str, Placed], cls: str, retry: bool, write: bool) -> None:
+    def __init__(self, by_prefix: dict[str, Placed], cls: RequestClass, retry: bool, write: bool) -> None:
+        self.cls = cls
         levels: dict[int, dict[str, Placed]] = {}
         for prefix, routes in by_prefix.items():
             here = [(order, route) for order, route in routes
-                    if (not route.match.classes or cls in route.match.classes)
-                    and route.match.retry in (None, retry) and route.match.write in (None, write)]
+                    if route.match.fits(cls) and route.match.retry in (None, retry)
+                    and route.match.write in (None, write)]
             if here:
                 levels.setdefault(len(prefix), {})[prefix] = here
         self.waiting = levels
@@ -126,11 +128,12 @@
                 self.by_prefix.setdefault(prefix, []).append((order, route))
         self.kinds: dict[tuple[str, bool, bool], Kind] = {}  # of classes that there are, four each
 
-    def find(self, cls: str, object: str, group: int, part: int, retry: bool, write: bool) -> int:
-        """The place of the first route that takes a request, or -1.  ``object`` is 16 hex digits."""
-        key = cls, retry, write
+    def find(self, cls: RequestClass, object: str, group: int, part: int, retry: bool, write: bool) -> int:
+        """The place of the first route that takes a request, or -1.  ``object`` is 16 hex digits.  A class
+        may become another under its name in service."""
+        key = cls.name, retry, write
         kind = self.kinds.get(key)
-        if kind is None:
+        if kind is None or kind.cls is not cls:
             kind = self.kinds[key] = Kind(self.by_prefix, cls, retry, write)
         best = kind.first(object, group, part)
         return -1 if best == NOBODY else best
--- a/kelpcroft/routes/table.py
+++ b/kelpcroft/routes/table.py
@@ -117,8 +117,8 @@
             self.lanes.append(lane or Lane(route, self.budgets))
         self.index = Index(file.routes, self.zone)
 
-    def take(self, now: int, cls: str, object: str, group: int, part: int, retry: bool, write: bool,
-             patience_ns: int, waited_ns: int) -> Grant | None:
+    def take(self, now: int, cls: api.RequestClass, object: str, group: int, part: int, retry: bool,
+             write: bool, patience_ns: int, waited_ns: int) -> Grant | None:
         """What a request is granted; None where no route takes it.  ``patience_ns`` is what is left of the
         client's, ``waited_ns`` what is gone.  The grant counts as open until it is released."""
         at = self.index.find(cls, object, group, part, retry, write)
--- a/tests/player.py
+++ b/tests/player.py
@@ -67,8 +67,9 @@
     """One run of the program with its feed and its servers."""
 
     def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = tuple(SERVERS),
-                 inherit: bool = False) -> None:
-        """``inherit``: the clients' listening socket is made here and handed down as ROUTER_FD."""
+                 inherit: bool = False, orders: dict[str, Any] | None = None) -> None:
+        """``inherit``: the clients' listening socket is made here and handed down as ROUTER_FD.  ``orders``:
+        what the settings say otherwise of the class of orders."""
         self.case = case
         self.listeners: dict[str, socket.socket] = {}
         self.socks: dict[str, socket.socket] = {}
@@ -87,6 +88,9 @@
         self.config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
                        "mgmt": f"127.0.0.1:{self.mgmts['mgmt'][1]}",
                        "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
+        settings = copy.deepcopy(EXAMPLE["settings"])
+        settings["classes"][1].update(orders or {})
+        self.config["settings"] = settings
         self.folder = tempfile.TemporaryDirectory()
         case.addCleanup(self.folder.cleanup)
         self.path = Path(self.folder.name) / "config.json"
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -12,6 +12,7 @@
 import orjson
 from player import EXAMPLE, ROOT, WAIT_S, Player
 
+KEYED = {"idempotency": "keyed", "group": "all", "dedup_window_ns": 3 * 10**9}
 ONE = ("cache1", "parent", "origin")   # with one cache in the zone it is plain where a request goes
 
 
@@ -26,6 +27,15 @@
     def test_write_not_run(self) -> None:
         Player(self, ONE).play("write_not_run.txt")
 
+    def test_nonce(self) -> None:
+        """The idempotency key of keyed classes was neither read nor sent on: servers that drop repeats by it
+        ran each attempt as a new request."""
+        Player(self, ONE, orders=KEYED).play("nonce.txt")
+
+    def test_size(self) -> None:
+        """A told size was dropped.  One that is no size is as none told."""
+        Player(self, ONE).play("size.txt")
+
     def test_cancel(self) -> None:
         """Closing the connection instead of KILL would give up what others have out on it."""
         Player(self, ONE).play("cancel.txt")
--- a/tests/test_operator_properties.py
+++ b/tests/test_operator_properties.py
@@ -12,6 +12,7 @@
 from kelpcroft.operator import load
 from kelpcroft.operator.faults import Faults, Source
 from kelpcroft.operator.model import (
+    EFFECTS,
     OUTCOMES,
     Backoff,
     Bounds,
@@ -43,7 +44,9 @@
 matches = st.builds(
     Match, classes=st.lists(st.sampled_from(["page", "order"]), max_size=2).map(tuple), groups=ranges(255),
     objects=st.lists(st.text("0123456789abcdef", min_size=1, max_size=16), max_size=3).map(tuple),
-    parts=ranges(9_999), zones=st.just(()), retry=maybe(st.booleans()), write=maybe(st.booleans()))
+    parts=ranges(9_999), zones=st.just(()), retry=maybe(st.booleans()), write=maybe(st.booleans()),
+    effects=st.lists(st.sampled_from(EFFECTS), max_size=2).map(tuple), through=maybe(st.booleans()),
+    multipart=maybe(st.booleans()))
 quantiles = st.builds(Moment, quantile=st.sampled_from([0.5, 0.95, 0.99, 0.999]),
                       least_ns=st.integers(0, 9).map(lambda n: n * MS))
 bounds = st.builds(
@@ -90,7 +93,8 @@
         m, b = r.match, r.bounds
         text += (f"route {quoted(r.name)}{gap}{{{end}match" + listed("class", m.classes)
                  + listed("group", m.groups) + listed("object", m.objects) + listed("part", m.parts)
-                 + flag("retry", m.retry) + flag("write", m.write) + end)
+                 + flag("retry", m.retry) + flag("write", m.write) + listed("effect", m.effects)
+                 + flag("through", m.through) + flag("multipart", m.multipart) + end)
         if b.timeout:
             text += f'timeout{gap}"{b.timeout.ns // MS}ms"{end}'
         if b.attempt:
--- a/tests/test_routes_parts.py
+++ b/tests/test_routes_parts.py
@@ -23,6 +23,8 @@
 from kelpcroft.routes.sketch import GROWTH, HALF_NS, MOST_NS, Sketch
 
 MS, S = 10**6, 10**9
+CLASSES = {c.name: c for c in parse(EXAMPLE, {}).settings.classes}
+PAGE = CLASSES["page"]
 few = st.lists(st.sampled_from(["0", "00", "7", "7f", "7f3a", "f" * 16]), max_size=2).map(tuple)
 routes = st.lists(matches | st.builds(Match, objects=few, parts=ranges(30), groups=ranges(3)), max_size=12)
 asked = st.tuples(
@@ -44,6 +46,9 @@
         and (not m.objects or any(item.startswith(x) for x in m.objects))
         and m.retry in (None, retry)
         and m.write in (None, write)
+        and (not m.effects or CLASSES[cls].effect.value in m.effects)
+        and m.through in (None, cls == "order")
+        and m.multipart in (None, False)
     )
 
 
@@ -56,7 +61,7 @@
         index = Index([Route(str(n), m, Bounds()) for n, m in enumerate(found)], "edge-1")
         for one in many:
             due = next((n for n, m in enumerate(found) if takes(m, *one)), -1)
-            self.assertEqual(index.find(*one), due, one)
+            self.assertEqual(index.find(CLASSES[one[0]], *one[1:]), due, one)
 
     @settings(max_examples=80, deadline=None, derandomize=True)
     @given(routes, st.lists(asked, min_size=1, max_size=12))
@@ -69,7 +74,7 @@
         reachable = [cover.add(row) for row in rows]
         index = Index(rows, "edge-1")
         for one in many:
-            at = index.find(*one)
+            at = index.find(CLASSES[one[0]], *one[1:])
             if at >= 0:
                 self.assertIn(one[0], reachable[at])
             else:
@@ -77,8 +82,8 @@
 
     def test_zones_of_others_are_passed_over(self) -> None:
         rows = [Route("a", Match(zones=("hub",)), Bounds()), Route("b", Match(), Bounds())]
-        self.assertEqual(Index(rows, "edge-1").find("page", "0" * 16, 0, 0, False, False), 1)
-        self.assertEqual(Index(rows, "hub").find("page", "0" * 16, 0, 0, False, False), 0)
+        self.assertEqual(Index(rows, "edge-1").find(PAGE, "0" * 16, 0, 0, False, False), 1)
+        self.assertEqual(Index(rows, "hub").find(PAGE, "0" * 16, 0, 0, False, False), 0)
 
 
 class Budgets(unittest.TestCase):
@@ -110,12 +115,12 @@
         text = 'kelpcroft version=1\nbudget "b" ratio=0 burst={}\nroute "r" {{ match; attempts budget="b"; }}'
         old, new = (load(text.format(n).encode())[0] for n in (10, 4))
         table = Table(old, "edge-1", 1, 0)
-        grant = table.take(0, "page", "0" * 16, 0, 0, False, False, S, 0)
+        grant = table.take(0, PAGE, "0" * 16, 0, 0, False, False, S, 0)
         assert grant
         for _ in range(8):
             self.assertTrue(grant.pay(0))
         table.replace(new, 0)
-        later = table.take(0, "page", "0" * 16, 0, 0, False, False, S, 0)
+        later = table.take(0, PAGE, "0" * 16, 0, 0, False, False, S, 0)
         assert later
         self.assertEqual(
             [later.pay(0) for _ in range(3)], [True, True, False], "two were left, and burst is 4"
@@ -166,7 +171,7 @@
         cut = 0
         for n in range(4_000):
             now += 5 * MS
-            grant = table.take(now, "page", "0" * 16, 0, 0, False, False, 60 * S, 0)
+            grant = table.take(now, PAGE, "0" * 16, 0, 0, False, False, 60 * S, 0)
             assert grant
             took = int(random.lognormvariate(4, 0.5) * MS)
             limit = grant.bounds.attempt_ns or 60 * S
@@ -184,7 +189,7 @@
         table = Table(load(text.encode())[0], "edge-1", 1, 0)
 
         def wait(cls: str, patience: int, waited: int) -> int:
-            grant = table.take(0, cls, "0" * 16, 0, 0, False, False, patience * MS, waited * MS)
+            grant = table.take(0, CLASSES[cls], "0" * 16, 0, 0, False, False, patience * MS, waited * MS)
             assert grant
             return grant.wait_ns // MS
 
@@ -204,10 +209,10 @@
             load(t.encode())[0]
             for t in (base, base.replace('"tails"', '"ends"'), base.replace("8..", "8..11"))
         )
-        self.assertEqual(list(differences(old, same, "edge-1", ["page"])), [])
-        (change,) = differences(old, new, "edge-1", ["page"])
+        self.assertEqual(list(differences(old, same, "edge-1", [PAGE])), [])
+        (change,) = differences(old, new, "edge-1", [PAGE])
         self.assertEqual((change.where, change.old, change.new), ('part="12..9999"', "tails", "rest"))
-        self.assertEqual(list(differences(old, File(), "edge-1", ["page"]))[0].new, "")
+        self.assertEqual(list(differences(old, File(), "edge-1", [PAGE]))[0].new, "")
 
     def test_a_file_is_held_against_the_deployment_it_meets(self) -> None:
         here = parse(EXAMPLE, {}).settings
