Limit what is out by told weights and by sources' waits, before lateness tells

Change: the gate for hits heeds our transfers in flight over those that told weights fit, the one for fills heeds how much of what an answer can spare its source takes, both at once and fading in seconds; where weights are told reports move objects only away from caches busier than 0.7.

--- /dev/null
+++ b/tests/test_early_limits.py
@@ -0,0 +1,109 @@
+"""Limits that act on what is there, before any answer is late.  Lateness told seconds after the queue had
+grown: at both sites an overloaded zone swung between full links and idle ones."""
+
+from __future__ import annotations
+
+import unittest
+
+from kit import MS, S, ask, end, fetches, policy
+
+from zincgrade import interface as api
+from zincgrade.estimate import Falling
+from zincgrade.held import Held
+from zincgrade.interface import Note, Outcome
+from zincgrade.policy import WAIT_SHARE, Gate, Policy
+
+CACHES = 20.0                # transfers at full pace of the four caches of ``kit.servers``
+
+
+def burst(p: Policy, now: int, count: int, kb: float, name: str = "b") -> list[bool]:
+    """So many requests of one size at once: which were sent."""
+    return [bool(fetches(ask(p, now, f"{name}{n}", n + 1000 * len(name), size_kb=kb))) for n in range(count)]
+
+
+class InFlight(unittest.TestCase):
+    def test_told_weights_hold_before_anything_is_late(self) -> None:
+        p = policy()
+        sent = burst(p, S, 200, 400.0)
+        self.assertTrue(all(sent[:int(CACHES)]), "what fits is taken")
+        self.assertLess(sum(sent), 5 * CACHES, "a jam of ten times what fits was taken whole")
+
+    def test_small_ones_are_taken_where_large_ones_are_not(self) -> None:
+        p = policy()
+        burst(p, S, 60, 400.0)
+        small, large = burst(p, S, 20, 10.0, "small"), burst(p, S, 20, 2_000.0, "large")
+        self.assertGreater(sum(small), 15)
+        self.assertEqual(sum(large), 0)
+
+    def test_all_are_taken_again_once_what_was_out_has_ended(self) -> None:
+        p = policy()
+        out = [f for n in range(200) for f in fetches(ask(p, S, f"r{n}", n, size_kb=400.0))]
+        for f in out:
+            end(p, S + 900 * MS, f, Outcome.OK, took=900 * MS, note=Note.HIT)
+        self.assertTrue(all(burst(p, S + 950 * MS, int(CACHES) // 2, 400.0, "after")))
+
+    def test_a_share_of_several_routers(self) -> None:
+        alone, one_of_four = policy(), policy(zone_instances=4)
+        self.assertGreater(sum(burst(alone, S, 100, 400.0)), 2 * sum(burst(one_of_four, S, 100, 400.0)))
+
+
+class SourcesWaits(unittest.TestCase):
+    def fills(self, p: Policy, start: int, wait_ms: int) -> None:
+        """Fills answered well, each after its source had been waited for so long."""
+        for n in range(30):
+            now = start + n * 20 * MS
+            (f,) = fetches(ask(p, now, f"w{start}-{n}", 5_000 + n + start // S * 100, size_kb=100.0))
+            p.handle(now + MS, api.AttemptEnded(f.id, 0, f.cache, Outcome.OK, (wait_ms + 100) * MS, True,
+                                                Note.FILLED_FROM_ORIGIN, wait_ms * MS))
+
+    def looks(self, p: Policy, now: int) -> int:
+        """How many of 20 large objects that nobody holds are only looked for."""
+        found = [fetches(ask(p, now, f"l{now}-{n}", 90_000 + n, size_kb=900.0)) for n in range(20)]
+        return sum(bool(f) and f[0].source == f[0].cache for f in found)
+
+    def test_a_long_queue_at_the_source_keeps_large_fills_out(self) -> None:
+        for wait_ms, due in ((20, False), (580, True)):
+            p = policy()
+            self.fills(p, S, wait_ms)
+            self.assertEqual(self.looks(p, 2 * S) >= 15, due, f"sources wait {wait_ms} ms")
+
+    def test_they_come_in_again_without_a_word_of_it(self) -> None:
+        p = policy()
+        self.fills(p, S, 5_000)
+        self.assertEqual(self.looks(p, 2 * S), 20)
+        self.assertEqual(self.looks(p, 8 * S), 0, "no fill went out that could have told of a shorter queue")
+
+    def test_one_wait_beyond_reason_does_not_shut_fills_out(self) -> None:
+        gate = Gate()
+        gate.waited(S, 1e12)
+        self.assertLessEqual(gate.wait.now(S), 1 / WAIT_SHARE)
+
+
+class Told(unittest.TestCase):
+    def test_falls_by_one_in_each_span(self) -> None:
+        level = Falling(S)
+        level.told(5 * S, 3.0)
+        self.assertEqual([level.now(t * S) for t in (5, 6, 8)], [3.0, 2.0, 0.0])
+
+    def test_idle_caches_draw_no_objects_where_weights_are_told(self) -> None:
+        """One that came back empty was idle for waiting on its fills, and drew four times its objects."""
+        moved = {}
+        for weights in ("rough", "off"):
+            p = policy(weights=weights)
+            homes = [p.caches(self.held(p, n))[0].line.name for n in range(400)]
+            for name, busy in (("c0", 0.05), ("c1", 0.5), ("c2", 0.5), ("c3", 0.5)):
+                p.reported(p.nodes[name], {"utilization": busy})
+            after = [p.caches(self.held(p, n))[0].line.name for n in range(400)]
+            moved[weights] = sum(a != b for a, b in zip(homes, after, strict=True))
+        self.assertLess(moved["rough"], 20)
+        self.assertGreater(moved["off"], 60, "where no weights are told the reports tell of capacity")
+
+    def held(self, p: Policy, item: int) -> Held:
+        (f,) = fetches(ask(p, S, f"h{len(p.held)}-{item}", item, size_kb=1.0))
+        held = p.held[f.id]
+        end(p, S, f, Outcome.OK, note=Note.HIT, took=MS)
+        return held
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -100,7 +100,7 @@
 
 
 def test_silent_cache_is_dead_then_gets_only_trials() -> None:
-    p = policy()
+    p = policy(weights="off")
     names = [f"r{n}" for n in range(40)]
     sent = {n: fetches(ask(p, S, n, i, patience_ns=60 * S))[0] for i, n in enumerate(names)}
     silent = sent["r0"].cache
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -230,7 +230,7 @@
             p.handle(3 * S + n * 100 * MS + MS, api.AttemptEnded(f.id, 0, f.cache, Outcome.OK, MS, True,
                                                                  Note.HIT, 0, report))
         node = p.nodes[f.cache]
-        self.assertEqual((node.busy, p.gates[True].link), (0.5, 0.4))
+        self.assertEqual((node.busy, p.gates[True].link.value), (0.5, 0.4))
         self.assertLess(node.load.mean, 1.0)
 
     def test_fills_go_on_once_the_link_is_free(self) -> None:
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -19,7 +19,7 @@
 TARGET = ROOT / ".compiled"
 PACKAGES = ("zincgrade", "kelpcroft")
 HOT = (
-    "zincgrade/interface.py", "zincgrade/estimate.py", "zincgrade/policy.py",
+    "zincgrade/interface.py", "zincgrade/estimate.py", "zincgrade/held.py", "zincgrade/policy.py",
     "kelpcroft/core/links.py", "kelpcroft/core/state.py",
     "kelpcroft/core/requests.py", "kelpcroft/core/attempts.py", "kelpcroft/core/members.py",
     "kelpcroft/core/reducer.py", "kelpcroft/net/front.py", "kelpcroft/net/shelf.py",
--- a/zincgrade/estimate.py
+++ b/zincgrade/estimate.py
@@ -83,3 +83,18 @@
     def now(self, now: int) -> float:
         """The sum as of a time in ns."""
         return self.total * math.exp((self.at_ns - now) / self.span_ns)
+
+
+class Falling:
+    """A figure as last told, which falls by 1 in every ``span_ns`` in which it is not told anew."""
+
+    def __init__(self, span_ns: int) -> None:
+        self.span_ns, self.value, self.at_ns = span_ns, 0.0, 0
+
+    def told(self, now: int, value: float) -> None:
+        """The figure at a time in ns that never runs back."""
+        self.value, self.at_ns = value, now
+
+    def now(self, now: int) -> float:
+        """The figure as of a time in ns."""
+        return self.value - (now - self.at_ns) / self.span_ns
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -8,11 +8,11 @@
 
 import math
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from zincgrade import interface as api
-from zincgrade.estimate import Faded, Sliding, Spread, fitting, mix, rendezvous
+from zincgrade.estimate import Faded, Falling, Sliding, Spread, fitting, mix, rendezvous
+from zincgrade.held import Attempt, Held, Memo
 from zincgrade.interface import Action, Effect, Note, Outcome, Role
 
 MS = 1_000_000
@@ -36,6 +36,7 @@
 GATE_CUT, GATE_GROW = 0.45, 1.02  # what a cut and an answer in time multiply it by
 LINK_OPEN, LINK_FALL = 3.0, 1.35  # cutoff for fills on a full link; it falls by e to so much a link more
 LINK_NS = SECOND_NS            # one full link over what fits drains in this time, where nothing is told
+WAIT_SHARE = 1 / 3             # of what an answer can spare, a source may take this before fills are cut
 GATE_SECOND, GATE_SPARE = 1.25, 2.0  # at the least, a second with answers in time, or in a third of it
 LOAD_NS, RECENT = 4 * SECOND_NS, 64  # offered work fades in this time; requests kept to place the bound
 CACHE_ROOM, FILL_ROOM = 0.95, 1.0  # share of the told links that may be planned for
@@ -70,7 +71,10 @@
         self.late, self.cut_ns = 0.0, 0    # recent share of late answers; last time the cutoff was lowered
         self.recent: deque[tuple[float, float]] = deque(maxlen=RECENT)
         self.work, self.ceiling = Faded(LOAD_NS), math.inf  # offered of late; what fits
-        self.link, self.link_ns = 0.0, 0   # transfers on the location's link over those that fit; when told
+        # Signs that come before any answer is late, each 1 where what is there just fits: transfers on the
+        # location's link (told) and at its caches (ours), and what sources wait of what an answer can spare.
+        self.link, self.caches, self.wait = Falling(LINK_NS), Falling(LINK_NS), Falling(LINK_NS)
+        self.waits = Spread(0.0, AVERAGE_GAIN)
 
     def told(self, late: bool, start_ns: int, now: int, spare: bool = False) -> None:
         """One answer's timeliness.  Requests taken before the last cut say nothing of its effect."""
@@ -101,27 +105,20 @@
         left = room * LOAD_NS / self.work.total if self.work.total else math.inf
         self.ceiling = fitting(self.recent, left) if left < 1 else math.inf
 
-    def over(self, now: int) -> float:
-        """How many times what fits is on the link beyond what fits, as last told; below 0 there is room."""
-        return self.link - 1 - (now - self.link_ns) / LINK_NS
+    def waited(self, now: int, share: float) -> None:
+        """A source took this share of what its answer could spare: at WAIT_SHARE its queue is long enough.
+        Later than late says no more: it would keep fills out, and so all news of sources, for long after."""
+        self.waits.add(min(1.0, share) / WAIT_SHARE)
+        self.wait.told(now, self.waits.mean)
 
     def admits(self, price: float, now: int = 0) -> bool:
-        """Whether a request of this price is taken.  A full link counts at once: fills outlive clients."""
-        over = self.over(now)
+        """Whether a request of this price is taken.  What is full counts at once: lateness tells seconds
+        later, and by then the queue is there."""
+        over = max(self.link.now(now), self.caches.now(now), self.wait.now(now)) - 1
         cutoff = self.cutoff if over <= 0 else min(self.cutoff, LINK_OPEN * math.exp(-LINK_FALL * over))
         return price <= self.ceiling and (cutoff >= GATE_OPEN or price <= self.scale.mean * cutoff)
 
 
-@dataclass(slots=True)
-class Memo:
-    """What is remembered of one part of an object."""
-
-    count: float = 0.0         # requests, halving with time
-    last_ns: int = 0
-    unit_ns: float = 0.0       # least time an answer took, 0 = none yet
-    holders: dict[str, int] = field(default_factory=dict)  # caches shown to hold it, and when
-
-
 class Health:
     """Whether a server is dead, by evidence; the only owner of that fact."""
 
@@ -177,9 +174,10 @@
         """Sending time a second that it can give us at COLD_BUSY, by what it gave and how busy it was."""
         return self.given.now(now) / LOAD_NS * COLD_BUSY / max(self.busy, COLD_IDLE)
 
-    def lean(self, even: float) -> float:
-        """How much more it gets as it reports to be less busy than the zone's mean, where a hash is even."""
-        lean = (max(even, LOAD_LEAST) / max(self.load.mean, LOAD_LEAST)) ** 2 if self.load.seen else 1.0
+    def lean(self, even: float, least: float) -> float:
+        """How much more it gets as it reports to be less busy than the zone's mean.  Those under ``least``
+        are alike: to move objects to the idlest costs their copies, and one without any is idle for that."""
+        lean = (max(even, least) / max(self.load.mean, least)) ** 2 if self.load.seen else 1.0
         return min(LEAN_MOST, max(1 / LEAN_MOST, lean))
 
     def score(self, now: int, average: float) -> float:
@@ -201,39 +199,6 @@
         return weight * rendezvous(key ^ self.seed)
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One attempt that is out."""
-
-    node: Node
-    source: Node
-    sent_ns: int
-    trial: bool = False
-
-    def far(self) -> Node:
-        """Who fills it: the source, or the parent or origin that was asked straight."""
-        return self.source if self.node.line.role is Role.CACHE else self.node
-
-
-class Held:
-    """A request that still owes its answer, or whose attempts are still out."""
-
-    def __init__(self, now: int, request: api.Request, cls: api.RequestClass, key: int, most: int) -> None:
-        self.request, self.cls, self.key = request, cls, key
-        self.start_ns, self.deadline_ns = now, now + request.patience_ns
-        self.out: dict[int, Attempt] = {}
-        self.tries, self.most = 0, most    # attempts sent; allowed when it came
-        self.done = self.started = self.judged = False
-        self.fills = self.look = False     # looks like a fill; only a hit is wanted
-        self.resets = 0                    # attempts lost with their connection
-        self.further = self.moved = self.copied = 0  # sends after one that may have run, or had not; copies
-        self.bad_caches: set[str] = set()
-        self.bad_sources: set[str] = set()
-        self.memo: Memo | None = None
-        self.ran_ns = 0                    # first send that may have run
-        self.ran_at: Node | None = None
-
-
 class Policy:
     """The decisions of one router."""
 
@@ -362,7 +327,10 @@
         price = work / max(held.cls.worth, 1e-9) / (0.5 + (held.key >> 11) / 2**53)  # smooths the edge
         s, told = self.s, self.s.weights != "off"
         here = self.caches_here if told else ()
-        caches = CACHE_ROOM * sum(n.room(self.now, s.rules) for n in here) / s.zone_instances
+        fit = sum(n.room(self.now, s.rules) for n in here) / s.zone_instances
+        caches = CACHE_ROOM * fit
+        if fit:
+            self.gates[False].caches.told(self.now, sum(n.held for n in here) / fit)
         self.gates[False].arrives(price, work, self.now)
         self.gates[False].bound(caches if told and caches else math.inf)
         if held.fills:
@@ -522,7 +490,8 @@
         for cache in caches:
             for source in self.sources(held, cache):
                 return cache, source
-        if self.s.direct and (held.cls.uncacheable or not held.look and self.gates[True].over(self.now) < 0):
+        spare = not held.look and self.gates[True].link.now(self.now) < 1
+        if self.s.direct and (held.cls.uncacheable or spare):
             # Exception: no cache of the zone can take it: straight to a parent or the origin.
             for node in self.sources(held, None):
                 if self.may_send(held, node):
@@ -539,6 +508,7 @@
         total_held, total_weight = 0, 0.0
         loads = [n.load.mean for n in self.caches_here if n.load.seen]
         even = sum(loads) / len(loads) if loads else 1.0
+        least = LOAD_LEAST if self.s.weights == "off" else COLD_BUSY  # told weights need no guess from loads
         quick = SLOW_BAND * min((n.slow.mean for n in self.caches_here), default=1.0)
         for node in self.caches_here:
             if node.line.name in held.bad_caches or not self.may_send(held, node):
@@ -550,7 +520,7 @@
                 continue
             if held.look and share < 1:    # it would find nothing, and counts against the cold budget
                 continue
-            weight = node.line.weight * share * node.lean(even)
+            weight = node.line.weight * share * node.lean(even, least)
             total_held, total_weight = total_held + node.held, total_weight + weight
             if self.admits(node, held, share):
                 # Exception: one slower than its peers (hot object, ageing) loses part of its share.
@@ -773,7 +743,9 @@
                 for origin in self.origins if e.note is Note.FILLED_FROM_ORIGIN else ():
                     self.revive(origin)
                 # Past the first byte, what the transfer lost to a crowded link counts too: see parents.
-                far.waited(now, max(e.first_byte_ns, e.took_ns - unit))
+                wait = max(e.first_byte_ns, e.took_ns - unit)
+                far.waited(now, wait)
+                self.gates[True].waited(now, wait / max(MS, self.aim(held) - unit))
             return
         if e.outcome is Outcome.MISS:
             self.revive(a.node)
@@ -801,7 +773,7 @@
             node.busy = busy
             node.load.add(busy)
         if 0 <= link < INSANE:
-            self.gates[True].link, self.gates[True].link_ns = link, self.now
+            self.gates[True].link.told(self.now, link)
         if 0 <= report.get("x0", 1.0) < COLD_HITS and self.now - node.born_ns > self.s.rules.cold_ns:
             node.born_ns = self.now        # as if it started now, whatever the list says
 
