--- a/kelpcroft/cli/check.py
+++ b/kelpcroft/cli/check.py
@@ -2,21 +2,58 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
+
 import click
 
-from kelpcroft.cli.common import as_json, config_option, faults_of, format_option, no, settings_of
+from kelpcroft.cli.common import (
+    Unfit,
+    as_json,
+    config_option,
+    faults_of,
+    findings,
+    format_option,
+    no,
+    settings_of,
+)
+from kelpcroft.deployment import lacks
+
+
+def missing(config: str | None) -> str:
+    """What the deployment lacks, in words."""
+    return ", ".join(lacks(settings_of(config or ""))) or "lack"
 
 
 @click.command(epilog="Example:  kelpcroft check examples/operator.kdl --config examples/config.json")
-@click.argument("file")
+@click.argument("file", required=False)
 @config_option()
 @format_option
-def check(file: str, config: str | None, form: str) -> None:
-    """Name every fault of an operator's FILE with its line, column, code and reason.
+def check(file: str | None, config: str | None, form: str) -> None:
+    """Name every fault of an operator's FILE with its line, column, code and reason, and of a router's
+    CONFIG every setting that is unusable (fault), odd (doubt) or unknown, with what would do.
 
     Without --config only what needs no deployment is checked: names of classes and zones, give-up times and
-    the deployment's limits are not.  Exit code 1 where there is a fault.
+    the deployment's limits are not.  Without FILE only CONFIG is looked at.  Exit code 1 where there is a
+    fault.
     """
+    if file is None and config is None:
+        raise Unfit("nothing to check: name a FILE, or --config CONFIG, or both")
+    found = findings(config) if config else []
+    broken = any(f.level == "fault" for f in found)
+    if form == "text":
+        for f in found:
+            click.echo(f"{config}: {f.level}: {f}")
+    if broken or file is None:
+        if form == "json":
+            as_json({"config": config, "good": not broken, "settings": [asdict(f) for f in found]})
+        elif broken:
+            held = f", so {file} was not held against it" if file else ""
+            click.echo(f"{config}: not usable{held}", err=True)
+        else:
+            click.echo(f"{config}: good, {len(found)} to look at; it has no {missing(config)}")
+        if broken:
+            no()
+        return
     model, faults = faults_of(file, settings_of(config) if config else None)
     if form == "json":
         as_json(
@@ -25,6 +62,7 @@
                 "good": not faults,
                 "routes": len(model.routes),
                 "deployment": bool(config),
+                "settings": [asdict(f) for f in found],
                 "faults": [
                     {"line": f.place.line, "column": f.place.column, "code": f.code, "reason": f.reason}
                     for f in faults
--- a/kelpcroft/cli/common.py
+++ b/kelpcroft/cli/common.py
@@ -10,6 +10,8 @@
 import orjson
 
 from kelpcroft.config import ConfigError, parse, table
+from kelpcroft.deployment import Finding
+from kelpcroft.deployment import check as deployment_check
 from kelpcroft.operator.check import check, load, read
 from kelpcroft.operator.faults import Fault
 from kelpcroft.operator.model import File
@@ -46,23 +48,31 @@
     )
 
 
-def settings_of(path: str) -> api.Settings:
-    """The deployment's settings from a router's configuration.  Its addresses may be missing."""
+def raw_of(path: str) -> dict[str, Any]:
+    """A router's configuration as it stands; what only a running router needs may be missing."""
     try:
         raw = table("the file", orjson.loads(Path(path).read_bytes()))
-        filled = {
-            "name": "n",
-            "listen": "127.0.0.1:1",
-            "feed": "127.0.0.1:1",
-            "known": {"n": 0, "events": []},
-        }
-        return parse({**filled, **raw}, {}).settings
     except OSError as error:
         raise Unfit(f"{path}: {error.strerror}") from error
     except orjson.JSONDecodeError as error:
         raise Unfit(f"{path}: {error}") from error
     except ConfigError as error:
         raise Unfit(f"{path}: {error}") from error
+    filled = {"name": "n", "listen": "127.0.0.1:1", "feed": "127.0.0.1:1", "known": {"n": 0, "events": []}}
+    return {**filled, **raw}
+
+
+def findings(path: str) -> list[Finding]:
+    """What is wrong or odd in a router's configuration."""
+    return deployment_check(raw_of(path))
+
+
+def settings_of(path: str) -> api.Settings:
+    """The deployment's settings from a router's configuration.  Its addresses may be missing."""
+    try:
+        return parse(raw_of(path), {}).settings
+    except ConfigError as error:
+        raise Unfit(f"{path}: {error}") from error
 
 
 def faults_of(path: str, settings: api.Settings | None) -> tuple[File, list[Fault]]:
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from kelpcroft.deployment import Finding, check
 from kelpcroft.messages import News, Reload
 from kelpcroft.net.feed import FeedError, news_of
 from zincgrade.interface import Settings, SettingsError
@@ -46,6 +47,7 @@
     inherited: int | None = None  # ROUTER_FD: a listening socket's descriptor, served on and not bound
     state_dir: str = ""      # $TMPDIR: where a process leaves its state of service for the next
     raw: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
+    doubts: tuple[Finding, ...] = ()  # what is odd in it, and starts all the same
 
 
 def address_of(key: str, text: Any) -> Address:
@@ -73,7 +75,7 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Read the environment, and the file that it names."""
+    """Read the environment, and the file that it names.  Raises ConfigError with a line for each fault."""
     path = environ.get("ROUTER_CONFIG", "")
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
@@ -83,7 +85,11 @@
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error.strerror}") from error
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from error
-    return parse(table("ROUTER_CONFIG", raw), environ)
+    found = check(table("ROUTER_CONFIG", raw))
+    faults = [f"{f}" for f in found if f.level == "fault"]
+    if faults:
+        raise ConfigError("\nconfiguration: ".join(faults))
+    return replace(parse(raw, environ), doubts=tuple(found))
 
 
 def reread(environ: Mapping[str, str]) -> Reload:
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -80,8 +80,8 @@
         if self.state.traced:
             self.state.trace("up", server=link.server, link=number, waiting=len(link.waiting))
         waiting, link.waiting = link.waiting, {}
+        link.out.update(waiting)             # all at once: one that ends here must not leave an idle link
         for id, n in waiting.items():
-            link.out[id] = n
             if n in self.state.probes:
                 self.state.effects.append(m.Check(number, id))
             else:
@@ -175,6 +175,8 @@
         self.state.touched.append(request)
         self.state.tally[outcome.name.lower()] += 1
         request.ran = not outcome.proves_not_run
+        if not request.ran and request.call.nonce:
+            self.state.keys.not_run(request.call.cls, request.call.nonce, attempt.number)
         if self.state.traced:
             self.state.trace("ended", id=request.call.trace, cls=request.call.cls, server=attempt.fetch.cache,
                              source=attempt.fetch.source, n=attempt.index, outcome=outcome.name,
@@ -274,6 +276,16 @@
     def pull(self, attempt: Attempt) -> None:
         """Write an attempt.  Its time limit is what is left of it now."""
         f, c = attempt.fetch, attempt.request.call
+        cls = self.state.classes.get(c.cls)
+        if c.nonce and cls is not None and cls.effect is api.Effect.KEYED:
+            ran = self.state.keys.find(self.state.now, c.cls, c.nonce)
+            if ran and self.state.now + self.state.settings.tick_ns >= ran.sent_ns + cls.window_ns:
+                # It was chosen in time and waited for its connection until its key's window was over.
+                self.ended(attempt, Outcome.MOOT)
+                return
+            line = self.state.endpoints.get(f.cache)
+            self.state.keys.sent(self.state.now, cls, c.nonce, attempt.number, line.zone if line else "",
+                                 line.cell if line else 0)
         attempt.sent = True
         if not attempt.link.watched:
             attempt.link.watched = True
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -16,6 +16,7 @@
 from kelpcroft.core.service import Mode, Service
 from kelpcroft.core.state import MS, SECOND, State
 from kelpcroft.core.tuning import Tuning
+from kelpcroft.deployment.lacks import lacks
 from kelpcroft.invariants import counts, holds
 from kelpcroft.messages import Effect, Timer
 from zincgrade import interface as api
@@ -46,11 +47,23 @@
         self.state.now, self.state.effects = now, []
         self.act(self.state.policy.start(now))
         self.members.on_news(self.state.config.known)
+        self.tell_deployment()
         self.state.wake(HOUSE_NS, Timer.HOUSE)
         self.counted_ns = now
         self.drive()
         return self.state.effects
 
+    def tell_deployment(self) -> None:
+        """At the start, one line for what the deployment lacks and one for what is odd in its settings."""
+        s = self.state
+        missing = lacks(s.settings, frozenset(n.line.role for n in s.policy.nodes.values()) or None)
+        if missing:
+            s.log("deployment.lacks", f"this deployment has no {', '.join(missing)}", "info",
+                  {"lacks": list(missing)})
+        if s.config.doubts:
+            s.log("deployment.doubts", "; ".join(map(str, s.config.doubts)), "warning",
+                  {"doubts": [f"{d.place}: {d.found}" for d in s.config.doubts]})
+
     def handle(self, now: int, message: m.Input) -> list[Effect]:
         """One input."""
         self.state.now, self.state.effects = now, []
@@ -58,8 +71,7 @@
             if self.service.admits(now):
                 self.requests.on_call(message)
             else:
-                self.state.tally["sent away"] += 1
-                self.state.effects.append(m.Decline(message.client, message.call, 0))
+                self.requests.turn_away(message, "sent away")
         elif isinstance(message, m.Answer):
             self.attempts.on_answer(message)
         elif isinstance(message, m.Due):
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -31,9 +31,17 @@
             self.state.tally["not usable"] += 1
             self.state.effects.append(m.Break(c.client, c.call))
             return
+        keyed = cls.effect is api.Effect.KEYED
+        if keyed and (c.cls, c.nonce) in self.state.keys.open:
+            # Its first request is under way here: two of one key are never out together.
+            self.turn_away(c, "keys in use")
+            return
+        if keyed and self.state.keys.full(self.state.now):
+            self.turn_away(c, "keys too many")
+            return
         most = self.state.settings.limits.max_open
         if most and len(self.state.requests) >= most:
-            self.state.effects.append(m.Decline(c.client, c.call, 0))
+            self.turn_away(c, "too many open")
             return
         self.state.made += 1
         routes, patience, grant = self.state.routes, c.patience_ns, None
@@ -45,6 +53,10 @@
         request = Request(str(self.state.made), c, self.state.now + patience, grant)
         self.state.requests[self.state.made] = self.state.calls.setdefault(c.client, {})[c.call] = request
         self.state.traces.add(c.trace)
+        ran = None
+        if keyed:
+            self.state.keys.open.add((c.cls, c.nonce))
+            ran = self.state.keys.find(self.state.now, c.cls, c.nonce)
         self.state.tally["taken"] += 1
         self.state.touched.append(request)
         if self.state.traced:
@@ -53,7 +65,17 @@
         self.state.events.append(api.Request(
             id=request.id, cls=c.cls, patience_ns=patience, object=c.object_number, part=c.part_number,
             group=c.group, size_kb=c.size_kb, write=len(c.body) > 0, retry=c.retry,
-            bounds=None if grant is None else grant.bounds))
+            bounds=None if grant is None else grant.bounds, ran=ran))
+
+    def turn_away(self, c: m.Call, why: str) -> None:
+        """The final answer to a call that is not taken: refused, or failed where an earlier request of its
+        key may have run and a repeat elsewhere would run it again (rule 2: whoever words a refusal)."""
+        self.state.tally[why] += 1
+        cls, keys = self.state.classes.get(c.cls), self.state.keys
+        ran = c.nonce and ((c.cls, c.nonce) in keys.open or keys.find(self.state.now, c.cls, c.nonce))
+        harmful = ran and cls is not None and cls.effect is api.Effect.KEYED and cls.group != "all"
+        answer = m.Break(c.client, c.call) if harmful else m.Decline(c.client, c.call, 0)
+        self.state.effects.append(answer)
 
     def finish(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
         """The final answer, or None where the client wants none."""
@@ -62,6 +84,8 @@
         request.answered = True
         del self.state.requests[int(request.id)]
         self.state.traces.discard(request.call.trace)
+        if request.call.nonce:
+            self.state.keys.open.discard((request.call.cls, request.call.nonce))
         open_here = self.state.calls[request.call.client]
         del open_here[request.call.call]
         if not open_here:
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -11,6 +11,7 @@
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
+from kelpcroft.core.keys import Keys
 from kelpcroft.core.links import Link, Links
 from kelpcroft.messages import Effect, Timer
 from zincgrade import interface as api
@@ -79,6 +80,7 @@
         self.requests: dict[int, Request] = {}               # those that owe an answer
         self.calls: dict[int, dict[int, Request]] = {}       # the same, by client and call
         self.traces: set[str] = set()                        # of those
+        self.keys = Keys()                                   # idempotency keys that may have run
         self.attempts: dict[int, Attempt] = {}
         self.tries: dict[tuple[str, int], int] = {}          # the same, by request and the module's number
         self.probes: dict[int, Probe] = {}
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import os
 import re
 import shlex
+import subprocess
+import sys
+import tempfile
 import unittest
 from dataclasses import replace
 
@@ -13,6 +18,7 @@
 from hypothesis import strategies as st
 from player import EXAMPLE
 
+from kelpcroft import deployment
 from kelpcroft.cli import main
 from kelpcroft.config import parse
 from kelpcroft.messages import Call
@@ -110,3 +116,117 @@
         if found:
             self.assertEqual(found, float(size))
         self.assertEqual(self.call(size="412.5").size_kb, 412.5)
+
+
+class Settings(unittest.TestCase):
+    """`kelpcroft check --config` and the start say the same of a configuration."""
+
+    def found(self, change: dict[str, object]) -> list[tuple[str, str]]:
+        raw = json.loads(json.dumps(EXAMPLE))
+        for path, value in change.items():
+            *way, last = path.split(".")
+            at = raw
+            for step in way:
+                at = at[int(step)] if step.isdigit() else at[step]
+            if value is None:
+                at.pop(last, None)
+            else:
+                at[last] = value
+        return [(f.level, f.place) for f in deployment.check(raw)]
+
+    def test_the_example_is_good(self) -> None:
+        self.assertEqual(deployment.check(EXAMPLE), [])
+
+    def test_each_is_named_by_its_key(self) -> None:
+        s, fi = "settings.", "settings.family_info."
+        for change, due in (
+            ({"feed": None}, ("fault", "feed")),
+            ({"feed": "nowhere"}, ("fault", "feed")),
+            ({"seed": "xyz"}, ("fault", "seed")),
+            ({"settings": 7}, ("fault", "settings")),
+            ({s + "az": "mars"}, ("fault", "settings.az")),
+            ({s + "classes": []}, ("fault", "settings.classes")),
+            ({s + "classes.0.name": None}, ("fault", "settings.classes[0].name")),
+            ({s + "classes.1.name": "page"}, ("fault", "settings.classes[1].name")),
+            ({s + "classes.0.idempotency": "sure"}, ("fault", "settings.classes[0].idempotency")),
+            ({s + "classes.0.group": "planet"}, ("fault", "settings.classes[0].group")),
+            ({s + "classes.0.give_up_ns": -5}, ("fault", "settings.classes[0].give_up_ns")),
+            ({s + "classes.0.give_up_ns": 1}, ("doubt", "settings.classes[0].aim_ns")),
+            ({s + "classes.1.idempotency": "keyed"}, ("doubt", "settings.classes[1].dedup_window_ns")),
+            ({s + "limits.most_tries": 0}, ("fault", "settings.limits.most_tries")),
+            ({s + "limits.most_tries": 1}, ("doubt", "settings.limits.second_copies")),
+            ({s + "limits.retry_after": False}, ("doubt", "settings.limits.max_retry_after_ns")),
+            ({s + "limits.max_steams": 3}, ("unknown", "settings.limits.max_steams")),
+            ({s + "contract.cold_from": 1.5}, ("fault", "settings.contract.cold_from")),
+            ({s + "contract.cold_ns": 0}, ("doubt", "settings.contract.cold_ns")),
+            ({s + "weight_source": "heavy"}, ("fault", "settings.weight_source")),
+            ({s + "self_index": 4}, ("doubt", "settings.self_index")),
+            ({s + "report.how": "off"}, ("doubt", "settings.report.how")),
+            ({fi + "hub_of": [0, 9]}, ("doubt", fi + "hub_of[1]")),
+            ({fi + "hub_of": [0]}, ("doubt", fi + "hub_of")),
+            ({fi + "max_age_ns": [0]}, ("doubt", fi + "max_age_ns")),
+            ({fi + "max_age_ns": [0, "long"]}, ("fault", fi + "max_age_ns")),
+            ({fi + "master_kind": 7}, ("doubt", fi + "master_kind")),
+            ({fi + "instances_by_zone": [0, 1]}, ("doubt", fi + "instances_by_zone")),
+            ({"peers": ["here"]}, ("doubt", "peers")),
+        ):
+            with self.subTest(change=change):
+                self.assertIn(due, self.found(change))
+
+    @QUICK
+    @given(st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+        lambda x: st.lists(x, max_size=3) | st.dictionaries(st.sampled_from(
+            ["settings", "classes", "limits", "family_info", "dcs", "az", "name", "hub_of"]), x)))
+    def test_whatever_stands_there_it_does_not_crash(self, raw: object) -> None:
+        deployment.check({"settings": raw} if not isinstance(raw, dict) else raw)
+
+    def test_what_the_check_lets_pass_starts(self) -> None:
+        """No fault: then `parse` takes it.  Over all keys, each with values of every form."""
+        odd = [None, 0, 1, -1, 0.5, 1e300, "", "x", "off", True, [], [0], [True], ["a"], {}, {"a": 1}]
+        for key in deployment.known.KEYS:
+            if "[]" in key.path or not key.path.startswith("settings.") or not key.reader:
+                continue
+            for value in odd:
+                raw = json.loads(json.dumps(EXAMPLE))
+                *way, last = key.path.split(".")
+                at = raw
+                for step in way:
+                    at = at[step]
+                at[last] = value
+                if not any(f.level == "fault" for f in deployment.check(raw)):
+                    with self.subTest(key=key.path, value=value):
+                        parse(raw, {})
+
+    def test_the_page_has_every_key(self) -> None:
+        page = (ROOT / "docs/operators/sites.md").read_text()
+        for key in deployment.known.KEYS:
+            self.assertIn(f"| `{key.path}` | {key.reader or 'nobody: ' + key.why} | "
+                          f"{key.absent or 'nothing changes'} |", page)
+
+    def test_every_key_that_is_read_in_settings_is_known(self) -> None:
+        source = (ROOT / "zincgrade/simhost.py").read_text()
+        known = {key.path.rpartition(".")[2] for key in deployment.known.KEYS}
+        read = set(re.findall(r'(?:options|lim|con|rep|fam|c)(?:\.get\(|\[)"(\w+)"', source))
+        self.assertGreater(len(read), 40)
+        self.assertEqual(read - known - {"family_info", "limits", "contract", "report", "classes"}, set())
+
+    def test_the_command_and_the_start_say_it(self) -> None:
+        raw = json.loads(json.dumps(EXAMPLE))
+        raw["settings"]["weight_source"], raw["settings"]["limits"]["most_tries"] = "heavy", 0
+        with tempfile.TemporaryDirectory() as folder:
+            path = f"{folder}/config.json"
+            with open(path, "w") as file:
+                json.dump(raw, file)
+            told = CliRunner().invoke(main, ["check", "--config", path])
+            self.assertEqual(told.exit_code, 1)
+            started = subprocess.run([sys.executable, "-m", "kelpcroft"], cwd=ROOT, capture_output=True,
+                                     text=True, env={**os.environ, "ROUTER_CONFIG": path}, timeout=20)
+            self.assertEqual(started.returncode, 2)
+            for key in ("settings.weight_source", "settings.limits.most_tries"):
+                self.assertIn(key, told.output)
+                self.assertIn(key, started.stderr)
+        self.assertEqual(CliRunner().invoke(main, ["check"]).exit_code, 2)
+        good = CliRunner().invoke(main, ["check", "--config", str(ROOT / "examples/config.json")])
+        self.assertEqual(good.exit_code, 0)
+        self.assertIn("weights", good.output, "what it lacks")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -103,7 +103,7 @@
         for key, changes in (
                 ("listen", {"listen": "nowhere"}), ("feed", {"feed": None}), ("seed", {"seed": "xyz"}),
                 ("limits.sockets", {"limits": {"sockets": "many"}}), ("known", {"known": {"n": 1}}),
-                ("settings", {"settings": None}), ("settings.zone", {"settings": {**settings, "az": "moon"}}),
+                ("settings", {"settings": None}), ("settings.az", {"settings": {**settings, "az": "moon"}}),
                 ("listen", {"listen": "192.0.2.1:9"})):
             with self.subTest(key=key):
                 self.refused(key, **changes)
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,142 @@
+"""Idempotency keys over several requests of one client: never two sends outside the group or the window."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from player import Player
+from test_exchanges import KEYED, ONE
+
+from kelpcroft import messages as m
+from kelpcroft.core.keys import Keys
+from kelplab.virtual import EXAMPLE, MS, S, Virtual
+from zincgrade import interface as api
+
+CLS = api.RequestClass("order", api.Effect.KEYED, window_ns=3 * S, deadline_ns=5 * S)
+STEPS = st.sampled_from(["sent", "not run", "wait"])
+steps = st.lists(st.tuples(STEPS, st.integers(0, 3), st.integers(1, 9)), max_size=40)
+
+
+class Table(unittest.TestCase):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(steps)
+    def test_first_send_that_may_have_run(self, found: list[tuple[str, int, int]]) -> None:
+        """Against a plain list of all sends."""
+        keys, now, sends, made = Keys(), 0, [], 0
+        for what, nonce, amount in found:
+            now += S // 10
+            if what == "wait":
+                now += amount * S
+            elif what == "sent":
+                made += 1
+                keys.sent(now, CLS, str(nonce), made, "z", 0)
+                live = [x for x in sends if x[0] == nonce and now < x[2] + 5 * S]
+                if not live:
+                    sends = [x for x in sends if x[0] != nonce]
+                    sends.append((nonce, made, now))
+            else:
+                last = [x for x in sends if x[0] == nonce][-1:]
+                if last:
+                    keys.not_run("order", str(nonce), last[0][1])
+                    sends.remove(last[0])
+            for n in range(4):
+                live = [x for x in sends if x[0] == n and now < x[2] + 5 * S]
+                ran = keys.find(now, "order", str(n))
+                self.assertEqual(ran.sent_ns if ran else None, live[0][2] if live else None)
+
+    def test_it_has_an_end(self) -> None:
+        keys = Keys(3)
+        for n in range(3):
+            self.assertFalse(keys.full(n))
+            keys.sent(n, CLS, str(n), n, "z", 0)
+        self.assertTrue(keys.full(S), "no entry is pushed out: what it binds is still to come")
+        self.assertFalse(keys.full(5 * S))
+        self.assertEqual(len(keys.entries), 2)
+
+
+def world(group: str, fates: dict[str, float], seed: int = 1, window: int = 3 * S) -> Virtual:
+    classes = [dict(c) for c in EXAMPLE["settings"]["classes"]]
+    classes[1].update(idempotency="keyed", group=group, dedup_window_ns=window)
+    return Virtual(None, seed, fates, settings={"classes": classes})
+
+
+def order(v: Virtual, when: int, nonce: str, patience_ms: int = 900) -> m.Call:
+    """One request for an order; its story is under its trace id."""
+    story = v.ask(when, "order", patience_ms)
+    c = story.call
+    call = m.Call(c.client, c.call, c.cls, c.trace, c.patience_ns, c.object, c.part, c.object_number,
+                  c.part_number, c.group, False, "", b"order", nonce=nonce)
+    for n, (at, made, message) in enumerate(v.heap):
+        if message is c:
+            v.heap[n] = (at, made, call)
+    story.call = call
+    return call
+
+
+class Retries(unittest.TestCase):
+    def sends(self, v: Virtual) -> list[tuple[int, str, str]]:
+        return sorted((x.at, x.server, x.fate) for s in v.stories.values() for x in s.sends)
+
+    def test_a_retry_goes_to_the_group_of_the_first_within_its_window(self) -> None:
+        """Each request was judged alone: a retry went to any cache, a second after another zone's or cell's
+        may have run it, and past the window."""
+        for group in ("zone", "cell"):
+            for seed in range(30):
+                v = world(group, {"silent": 0.5, "done": 0.2, "broke": 0.2, "wait": 0.1}, seed, 1500 * MS)
+                for n in range(5):
+                    order(v, n * 550 * MS, "k", patience_ms=500)
+                v.run(20 * S)
+                sends = self.sends(v)
+                ran = [x for x in sends if x[2] not in ("wait", "lack", "past")]
+                if not ran:
+                    continue
+                first = ran[0]
+                homes = {e.address: (e.zone, e.cell) for e in v.reducer.state.endpoints.values()}
+                for at, server, _ in sends:
+                    if at > first[0]:
+                        self.assertLess(at, first[0] + 1500 * MS, (group, seed))
+                        mine, other = homes[first[1]], homes[server]
+                        self.assertEqual(mine if group == "cell" else mine[0],
+                                         other if group == "cell" else other[0], (group, seed))
+
+    def test_past_the_window_it_is_refused_or_fails_without_a_send(self) -> None:
+        for group, due in (("all", m.Decline), ("zone", m.Break)):
+            v = world(group, {"silent": 1.0}, window=S)
+            first, late = order(v, 0, "k"), order(v, 2 * S, "k")
+            v.run(10 * S)
+            self.assertEqual(len(v.stories[first.trace].sends), 1)
+            self.assertEqual(v.stories[late.trace].sends, [])
+            self.assertIsInstance(v.stories[late.trace].finals[0][1], due)
+
+    def test_what_certainly_did_not_run_binds_nothing(self) -> None:
+        v = world("zone", {"wait": 1.0}, window=S)
+        order(v, 0, "k")
+        late = order(v, 2 * S, "k")
+        v.run(10 * S)
+        self.assertTrue(v.stories[late.trace].sends)
+
+    def test_two_of_one_key_are_never_out_together(self) -> None:
+        for group, due in (("all", m.Decline), ("zone", m.Break)):
+            v = world(group, {"silent": 1.0})
+            first, second = order(v, 0, "k"), order(v, 100 * MS, "k")
+            v.run(10 * S)
+            self.assertEqual(len(v.stories[first.trace].sends), 1)
+            self.assertEqual(v.stories[second.trace].sends, [])
+            self.assertIsInstance(v.stories[second.trace].finals[0][1], due)
+
+    def test_tables_are_empty_after_a_storm(self) -> None:
+        v, random = world("all", {"silent": 0.3, "done": 0.5, "broke": 0.2}), Random(4)
+        for _ in range(300):
+            order(v, random.randrange(20 * S), str(random.randrange(60)))
+        v.run(40 * S)
+        self.assertEqual(v.reducer.state.keys.open, set())
+        v.reducer.state.keys.fade(v.now + 60 * S)
+        self.assertEqual(len(v.reducer.state.keys.entries), 0)
+
+
+class OnTheWire(unittest.TestCase):
+    def test_retry_of_a_key(self) -> None:
+        Player(self, ONE, orders={**KEYED, "dedup_window_ns": S, "group": "zone"}).play("nonce_retry.txt")
--- a/zincgrade/held.py
+++ b/zincgrade/held.py
@@ -51,5 +51,4 @@
         self.bad_caches: set[str] = set()
         self.bad_sources: set[str] = set()
         self.memo: Memo | None = None
-        self.ran_ns = 0                    # first send that may have run
-        self.ran_at: Node | None = None
+        self.ran = request.ran             # first send that may have run, of any request of its key
--- a/zincgrade/interface.py
+++ b/zincgrade/interface.py
@@ -174,6 +174,15 @@
     started_ns: int = 0           # clock time of its last start; 0 = long ago
 
 
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A send that may have run: at a server of this zone and cell, at this time."""
+
+    zone: str
+    cell: int
+    sent_ns: int
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What a route lets one request cost.  The defaults bound nothing."""
@@ -216,6 +225,7 @@
     retry: bool = False
     tenant: str = ""
     bounds: Bounds | None = None  # None = the module's own way in all
+    ran: Ran | None = None        # an earlier request of the same idempotency key that may have run
 
 
 @dataclass(frozen=True, slots=True)
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -349,8 +349,9 @@
         if held is None or attempt is None:
             return
         attempt.node.held -= 1
-        if not e.outcome.proves_not_run and not held.ran_at:
-            held.ran_ns, held.ran_at = attempt.sent_ns, attempt.node
+        if not e.outcome.proves_not_run and not held.ran:
+            line = attempt.node.line
+            held.ran = api.Ran(line.zone, line.cell, attempt.sent_ns)
         self.learn(held, attempt, e)
         if e.final or held.done:
             self.close(held)
@@ -394,7 +395,7 @@
 
     def give_up(self, held: Held) -> None:
         """The final answer where nothing more can be tried: a refusal if that does no harm."""
-        harmless = held.cls.effect is Effect.SAFE or (held.ran_at is None and not held.out)
+        harmless = held.cls.effect is Effect.SAFE or (held.ran is None and not held.out)
         if harmless or (held.cls.effect is Effect.KEYED and held.cls.group == "all"):
             bounds, limits = held.request.bounds, self.s.limits
             pause = min(bounds.pause_ns, limits.max_retry_after_ns) if bounds and limits.retry_after else 0
@@ -611,11 +612,11 @@
         """Rule 2: whether another attempt at this server can do no harm."""
         if held.out and not (self.s.limits.second_copies and held.cls.effect is Effect.SAFE):
             return False
-        if held.cls.effect is Effect.SAFE or held.ran_at is None:
+        ran = held.ran
+        if held.cls.effect is Effect.SAFE or ran is None:
             return True
-        if held.cls.effect is Effect.UNSAFE or self.now + self.s.tick_ns >= held.ran_ns + held.cls.window_ns:
+        if held.cls.effect is Effect.UNSAFE or self.now + self.s.tick_ns >= ran.sent_ns + held.cls.window_ns:
             return False
-        ran = held.ran_at.line
         return held.cls.group == "all" or (node.line.zone == ran.zone if held.cls.group == "zone"
                                            else node.line.cell == ran.cell)
 
