--- /dev/null
+++ b/benchmarks/rollout_judge.py
@@ -0,0 +1,103 @@
+"""How often the judgement of a rollout is wrong, over simulated rollouts, against the rates it states.
+
+    python -m benchmarks.rollout_judge [--runs 10000] [--seconds 600]
+
+Each run has one new and eleven old routers in one zone at some tens of requests a second, a minute of figures
+from before, requests that come at random, and a share of them that is not answered in time and wanders for
+both sides together (a lost hub, a slow store).  The new side has so much more harm than the old one, or none.
+"""
+
+from __future__ import annotations
+
+import math
+import sys
+from random import Random
+from time import perf_counter
+
+from kelpcroft.rollout.judge import Judge, Rates, Sample, Verdict
+
+PLACE = ("zone", "class")
+
+
+def poisson(random: Random, mean: float) -> int:
+    """A count, by the normal law where that is near enough."""
+    if mean > 50:
+        return max(0, round(random.gauss(mean, math.sqrt(mean))))
+    count, product, limit = 0, random.random(), math.exp(-mean)
+    while product > limit:
+        count, product = count + 1, product * random.random()
+    return count
+
+
+def sample(random: Random, rate: float, harm: float) -> Sample:
+    """One second of one side."""
+    asked = poisson(random, rate)
+    bad = min(asked, poisson(random, asked * harm)) if asked else 0
+    return Sample(asked, 2.0 * asked, 2.0 * (asked - bad))
+
+
+def rollout(
+    random: Random, rate: float, usual: float, harm: float, own: float, seconds: int
+) -> tuple[Verdict, int]:
+    """The verdict and after how many seconds; ``own``: what the new router's place always had more."""
+    judge, wander = Judge(Rates()), 0.0
+    for _ in range(60):
+        judge.before(True, {PLACE: sample(random, rate, usual + own)})
+        judge.before(False, {PLACE: sample(random, 11 * rate, usual)})
+    for second in range(seconds):
+        wander = 0.95 * wander + random.gauss(0, 0.02)
+        both = min(0.9, max(0.0, usual + wander + (0.3 if 30 <= second < 45 else 0.0)))
+        judge.slice(
+            {PLACE: sample(random, rate, min(1.0, both + harm + own))},
+            {PLACE: sample(random, 11 * rate, both)},
+        )
+        verdict, _ = judge.verdict(frozenset((PLACE,)))
+        if verdict is not Verdict.OPEN:
+            return verdict, second + 1
+    return Verdict.OPEN, seconds
+
+
+def main(words: list[str]) -> int:
+    runs = int(words[words.index("--runs") + 1]) if "--runs" in words else 10_000
+    seconds = int(words[words.index("--seconds") + 1]) if "--seconds" in words else 600
+    rates = Rates()
+    print(
+        f"{runs} rollouts a row; stated: false stops {rates.false_stop}, missed harm {rates.missed_harm} "
+        f"of {rates.harm}"
+    )
+    print(
+        "  harm  usual   own  req/s    worse     fine     open  median s  us/slice"
+    )
+    bad = 0
+    for harm, usual, own, rate in (
+        (0.0, 0.02, 0.0, 30.0),
+        (0.0, 0.10, 0.05, 30.0),
+        (0.0, 0.05, 0.0, 10.0),
+        (0.05, 0.02, 0.0, 30.0),
+        (0.05, 0.10, 0.05, 30.0),
+        (0.10, 0.05, 0.0, 30.0),
+        (0.30, 0.05, 0.0, 30.0),
+        (0.95, 0.05, 0.0, 10.0),
+    ):
+        random, found, took, slices, began = Random(7), dict.fromkeys(Verdict, 0), [], 0, perf_counter()
+        for _ in range(runs):
+            verdict, after = rollout(random, rate, usual, harm, own, seconds)
+            found[verdict] += 1
+            took.append(after)
+            slices += after
+        each = (perf_counter() - began) / max(1, slices) * 1e6
+        shares = {v: n / runs for v, n in found.items()}
+        print(
+            f"{harm:>6}{usual:>7}{own:>6}{rate:>7g}{shares[Verdict.WORSE]:>9.4f}{shares[Verdict.FINE]:>9.4f}"
+            f"{shares[Verdict.OPEN]:>9.4f}{sorted(took)[runs // 2]:>10}{each:>10.1f}",
+            flush=True,
+        )
+        wrong = (
+            shares[Verdict.WORSE] / rates.false_stop if not harm else shares[Verdict.FINE] / rates.missed_harm
+        )
+        bad += wrong > 1
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/kelpcroft/rollout/plan.py
@@ -0,0 +1,334 @@
+"""A rollout file: what changes, on which routers, in which stages, and what stops it.
+
+    rollout version=1
+
+    change {
+        program build="5f2c09e1a7b3d480"          // the digest that a router of the new build tells
+        settings digest="..."                     // and of the new settings, or the new operator's file
+        rules digest="..."
+    }
+    router "n1" zone="edge-1" control="127.0.0.1:9101"
+    router "n2" zone="edge-1" control="127.0.0.1:9102"
+
+    stage "one" count=1 least="2m" most="20m"
+    stage "half" share="50%" least="2m" most="20m"
+    stage "all" share="100%" least="2m" most="20m"
+
+    limits at-once=2 per-zone=1
+    order "edge-3,edge-1"                         // zones that come first
+    watch every="1s" slowest="30s" ready="20s" cold="20s" unknown=1
+    stop harm=0.05 tolerance=0 false-stop=0.01 missed-harm=0.05
+    then "take-back"                              // or "hold"
+
+Read like the operator's file: KDL, every fault with its place and a stable code, all of them at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from kelpcroft.deployment.known import address
+from kelpcroft.operator import values
+from kelpcroft.operator.faults import Fault, Faults, Place, TooMany, instead, shown
+from kelpcroft.operator.reader import Reader
+from kelpcroft.operator.text import Item, Value, tree
+from kelpcroft.operator.values import Unusable
+from kelpcroft.rollout.judge import Rates
+
+VERSION = 1
+SECOND = 10**9
+ROUTERS_MOST, STAGES_MOST = 10_000, 64
+WHATS = ("program", "settings", "rules")
+TOP = ("rollout", "change", "router", "stage", "limits", "order", "watch", "stop", "then")
+THEN = ("take-back", "hold")
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One router that is to be changed."""
+
+    name: str
+    zone: str
+    control: str = ""
+    place: Place = field(default=Place(), compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Up to so many routers, or such a share of all, are changed; then it bakes."""
+
+    name: str
+    count: int  # 0 = ``share`` says
+    share: float
+    least_ns: int
+    most_ns: int
+    place: Place = field(default=Place(), compare=False)
+
+    def reaches(self, routers: int) -> int:
+        """Routers that are changed at its end, of so many."""
+        return min(routers, self.count or max(1, round(self.share * routers)))
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A whole file."""
+
+    change: tuple[tuple[str, str], ...] = ()  # what, and the digest of the new one
+    routers: tuple[Target, ...] = ()
+    stages: tuple[Stage, ...] = ()
+    at_once: int = 1  # routers out of service or not judged ready, in all ...
+    per_zone: int = 1  # ... and in one zone
+    order: tuple[str, ...] = ()
+    every_ns: int = SECOND
+    slowest_ns: int = 30 * SECOND  # the slowest signal that a stage must wait for
+    ready_ns: int = 20 * SECOND  # a changed router must be ready within this
+    cold_ns: int = 20 * SECOND  # and is not judged for so long after
+    unknown_most: int = 1  # with more routers that do not answer, nothing new is begun
+    rates: Rates = Rates()
+    take_back: bool = True
+
+    def by_stage(self) -> list[list[Target]]:
+        """Who is changed in which stage: zones in their order, one router of each in turn, so that every
+        stage spreads over the zones and a zone's last routers come last."""
+        zones: dict[str, list[Target]] = {zone: [] for zone in self.order}
+        for router in self.routers:
+            zones.setdefault(router.zone, []).append(router)
+        turns = [found for found in zones.values() if found]
+        longest = max(map(len, turns), default=0)
+        queue = [found[n] for n in range(longest) for found in turns if n < len(found)]
+        stages, at = [], 0
+        for stage in self.stages:
+            end = max(at, stage.reaches(len(queue)))
+            stages.append(queue[at:end])
+            at = end
+        return stages
+
+    def longest_ns(self) -> int:
+        """The longest that it can take, changes included: each waits for ready and for warm."""
+        rounds = sum(-(-len(found) // self.at_once) for found in self.by_stage())
+        return sum(s.most_ns for s in self.stages) + rounds * (self.ready_ns + self.cold_ns)
+
+
+def load(data: bytes) -> tuple[Plan, list[Fault]]:
+    """A file's bytes as a plan, and all that is wrong with it."""
+    faults, plan = Faults(), Plan()
+    try:
+        plan = PlanReader(faults).plan(tree(data, faults))
+        if not faults.count:
+            judge(plan, faults)
+    except TooMany:
+        pass
+    return plan, faults.sorted()
+
+
+class PlanReader(Reader):
+    """One rollout file; what nodes may hold is checked as in the operator's file."""
+
+    def plan(self, items: Iterable[Item]) -> Plan:
+        said: dict[str, object] = {}
+        routers: list[Target] = []
+        stages: list[Stage] = []
+        seen: dict[str, int] = {}
+        names: dict[tuple[str, str], int] = {}
+        for n, item in enumerate(items):
+            if n == 0 and item.name != "rollout":
+                self.faults.add(
+                    item.place,
+                    "no-version",
+                    f"the first node is 'rollout version={VERSION}', not {shown(item.name)}",
+                )
+            if item.name not in TOP:
+                self.faults.add(
+                    item.place,
+                    "unknown-node",
+                    f"a rollout holds no {shown(item.name)}{instead(item.name, TOP)}",
+                )
+                continue
+            if item.name in ("router", "stage"):
+                name = self.name(item)
+                if name and (item.name, name) in names:
+                    self.faults.add(
+                        item.place,
+                        "duplicate-name",
+                        f"{item.name} {shown(name)} stands at line "
+                        f"{self.line(names[item.name, name])} already",
+                    )
+                names.setdefault((item.name, name), item.place)
+                if item.name == "router":
+                    routers.append(self.target(item, name))
+                else:
+                    stages.append(self.stage(item, name))
+                continue
+            if item.name in seen:
+                self.faults.add(
+                    item.place,
+                    "duplicate-node",
+                    f"{item.name!r} stands at line {self.line(seen[item.name])} already",
+                )
+                continue
+            seen[item.name] = item.place
+            if item.name == "rollout":
+                self.version(item)
+            else:
+                said.update(getattr(self, f"read_{item.name}")(item))
+        if "change" not in seen:
+            self.faults.add(0, "no-change", 'what changes? add change { program build="..." }')
+        for what, found in (("router", routers), ("stage", stages)):
+            if not found:
+                self.faults.add(0, f"no-{what}", f'there is no {what}; add one, as {what} "one"')
+        return Plan(routers=tuple(routers[:ROUTERS_MOST]), stages=tuple(stages[:STAGES_MOST]), **said)  # type: ignore[arg-type]
+
+    def read_change(self, item: Item) -> dict[str, object]:
+        self.form(item, 0, (), WHATS)
+        found = []
+        for child in item.children:
+            if child.name not in WHATS:
+                continue
+            key = "build" if child.name == "program" else "digest"
+            self.form(child, 0, (key,))
+            digest = self.prop(
+                child, key, hexadecimal, f'the new one\'s digest, as in {key}="5f2c09e1a7b3d480"'
+            )
+            found.append((child.name, digest or ""))
+        if not found:
+            self.faults.add(
+                item.place, "no-change", "it touches nothing; program, settings or rules would do"
+            )
+        return {"change": tuple(found)}
+
+    def target(self, item: Item, name: str) -> Target:
+        self.form(item, 1, ("zone", "control"))
+        zone = self.prop(item, "zone", lambda v: values.text_of(v, "a name"), 'a zone, as in zone="edge-1"')
+        control = self.prop(item, "control", reachable)
+        return Target(name, zone or "", control or "", self.faults.place(item.place))
+
+    def stage(self, item: Item, name: str) -> Stage:
+        self.form(item, 1, ("count", "share", "least", "most"))
+        count = self.prop(item, "count", lambda v: values.count(v, 1, ROUTERS_MOST))
+        share = self.prop(item, "share", a_share)
+        if (count is None) == (share is None) and "count" not in item.props and "share" not in item.props:
+            self.faults.add(item.place, "missing-value", "'stage' wants count=3 or share=\"10%\"")
+        elif "count" in item.props and "share" in item.props:
+            self.faults.add(item.place, "count-and-share", "'stage' takes a count or a share, not both")
+        least = self.prop(item, "least", values.duration, 'its least time, as in least="2m"')
+        most = self.prop(item, "most", values.duration, 'its most time, as in most="20m"')
+        return Stage(name, count or 0, share or 0.0, least or 0, most or 0, self.faults.place(item.place))
+
+    def read_limits(self, item: Item) -> dict[str, object]:
+        self.form(item, 0, ("at-once", "per-zone"))
+        found = {
+            key.replace("-", "_"): self.prop(item, key, lambda v: values.count(v, 1, ROUTERS_MOST))
+            for key in ("at-once", "per-zone")
+        }
+        return {key: value for key, value in found.items() if value is not None}
+
+    def read_order(self, item: Item) -> dict[str, object]:
+        self.form(item, 1, ())
+        found = self.argument(item, values.words, 'zones, as in order "edge-3,edge-1"')
+        return {"order": tuple(dict.fromkeys(found or ()))}
+
+    def read_watch(self, item: Item) -> dict[str, object]:
+        keys = ("every", "slowest", "ready", "cold")
+        self.form(item, 0, (*keys, "unknown"))
+        found = {f"{key}_ns": self.prop(item, key, values.duration) for key in keys}
+        found["unknown_most"] = self.prop(item, "unknown", lambda v: values.count(v, 0, ROUTERS_MOST))
+        return {key: value for key, value in found.items() if value is not None}
+
+    def read_stop(self, item: Item) -> dict[str, object]:
+        self.form(item, 0, ("harm", "tolerance", "false-stop", "missed-harm"))
+        found = {}
+        for key in ("harm", "tolerance", "false-stop", "missed-harm"):
+            value = self.prop(item, key, lambda v: values.number(v, 0, 1, "bad-rate"))
+            if value is not None:
+                found[key.replace("-", "_")] = value
+        try:
+            return {"rates": Rates(**found)}
+        except ValueError as error:
+            self.faults.add(item.place, "bad-rate", str(error))
+            return {}
+
+    def read_then(self, item: Item) -> dict[str, object]:
+        self.form(item, 1, ())
+        word = self.argument(item, lambda v: values.text_of(v, "a name"), "take-back or hold")
+        if word is not None and word not in THEN:
+            self.faults.add(
+                item.place,
+                "unknown-word",
+                f"{shown(word)}{instead(word, THEN)}; there are {' and '.join(THEN)}",
+            )
+        return {"take_back": word != "hold"}
+
+
+def hexadecimal(raw: Value) -> str:
+    text = values.text_of(raw, "hex digits")
+    if not 4 <= len(text) <= 64 or set(text) - set("0123456789abcdef"):
+        raise Unusable("bad-digest", f"{shown(raw)} is not 4 to 64 hex digits in lower case")
+    return text
+
+
+def reachable(raw: Value) -> str:
+    text = values.text_of(raw, "a name")
+    if address(text):
+        raise Unusable("bad-address", f"{shown(raw)} is no address; host:port would do")
+    return text
+
+
+def a_share(raw: Value) -> float:
+    found = values.share(raw)
+    if found is None:
+        raise Unusable("bad-share", f'{shown(raw)} is no share; write one as "10%"')
+    return found
+
+
+def judge(plan: Plan, faults: Faults) -> None:
+    """What each node may say and the whole may not."""
+    zones: dict[str, list[str]] = {}
+    for router in plan.routers:
+        zones.setdefault(router.zone, []).append(router.name)
+    for zone in plan.order:
+        if zone not in zones:
+            faults.add(0, "unknown-zone", f"order: no router is of zone {shown(zone)}{instead(zone, zones)}")
+    reached = 0
+    for stage, found in zip(plan.stages, plan.by_stage(), strict=True):
+        what = f"stage {shown(stage.name)}"
+        end = stage.reaches(len(plan.routers))
+        if end <= reached:
+            faults.add(
+                stage.place,
+                "stage-shrinks",
+                f"{what} reaches {end} routers, where {reached} are changed before it; each must reach more",
+            )
+        reached = max(reached, end)
+        if stage.least_ns < plan.slowest_ns:
+            faults.add(
+                stage.place,
+                "bake-too-short",
+                f"{what} may end after {stage.least_ns / SECOND:g}s, the "
+                f"slowest signal takes {plan.slowest_ns / SECOND:g}s",
+            )
+        if stage.most_ns < stage.least_ns:
+            faults.add(stage.place, "least-over-most", f"{what} has more least than most time")
+        here = {r.name for r in found}
+        for zone, names in zones.items():
+            if len(names) > 1 and here.issuperset(names):
+                faults.add(
+                    stage.place,
+                    "whole-zone",
+                    f"{what} changes all {len(names)} routers of zone "
+                    f"{shown(zone)}: none of the old would be left there to compare with",
+                )
+    if plan.stages and plan.routers and reached < len(plan.routers):
+        faults.add(
+            plan.stages[-1].place,
+            "not-all",
+            f'the last stage reaches {reached} of {len(plan.routers)} routers; end with share="100%"',
+        )
+    for zone, names in zones.items():
+        if plan.per_zone >= len(names) > 1:
+            faults.add(
+                0,
+                "zone-out",
+                f"limits: {plan.per_zone} routers of zone {shown(zone)} may be out at once, "
+                f"and it has {len(names)}",
+            )
--- /dev/null
+++ b/kelpcroft/rollout/stages.py
@@ -0,0 +1,483 @@
+"""The state machine of a rollout: events and the time in, effects out.  It keeps, at every instant:
+
+- one change under way at a router, and no more routers away than the plan's limits, in all and per zone;
+- nothing is concluded from an answer that did not come: where a step's end was not heard, the router's own
+  digests say what it is; a router that does not answer is unknown, never good;
+- nothing goes on without evidence: a stage ends when every router of it is warm, its least time is over and
+  harm is ruled out wherever an old router is left to compare with; past its most time it is held;
+- every run ends, or is held with what is missing named.
+
+A router is told by ``Report``s, cumulative counters of one process instance.  A new instance that nobody
+asked for is a crash; counters that fall under the same instance are a contradiction and say nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from kelpcroft.rollout.judge import Judge, Place, Sample, Verdict
+from kelpcroft.rollout.plan import Plan, Target
+
+STALE_TURNS = 3  # polls without an answer after which a router is unknown
+
+
+class Phase(Enum):
+    """Where a router is."""
+
+    WAITING = "waiting"  # of the old
+    OUT = "out of service"  # asked to let its clients go
+    CHANGED = "changed"  # the change was ordered; ready is waited for
+    COLD = "cold"  # in service with the new, not judged yet
+    JUDGED = "judged"  # warm, compared with the old
+    KEPT = "kept"  # its stage is over
+    LEAVING = "leaving"  # to be taken back: asked to let its clients go
+    UNDONE = "undone"  # the old was ordered; ready is waited for
+    TAKEN_BACK = "taken back"
+
+
+AWAY = frozenset((Phase.OUT, Phase.CHANGED, Phase.COLD, Phase.LEAVING, Phase.UNDONE))
+NEW = frozenset((Phase.CHANGED, Phase.COLD, Phase.JUDGED, Phase.KEPT))
+
+
+class Outcome(Enum):
+    """Where the whole is."""
+
+    RUNNING = "running"
+    HELD = "held"  # nothing new is begun; what is under way at a router is finished
+    REVERTING = "reverting"
+    DONE = "done"
+    REVERTED = "taken back"
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a router says of itself."""
+
+    router: str
+    instance: str  # of the process: another one after each start
+    digests: Mapping[str, str]  # program, settings, rules
+    ready: bool
+    in_service: bool
+    invariants: int = 0
+    classes: Mapping[str, Sample] = field(default_factory=dict)  # since this instance began
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """A router did not answer, or not in a way that can be read."""
+
+    router: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+class Order(Enum):
+    """What people say."""
+
+    HOLD = "hold"
+    RESUME = "resume"
+    REVERT = "revert"
+
+
+Event = Report | Silent | Tick | Order
+
+
+class Act(Enum):
+    """What is to be done at a router.  Each may be ordered again without harm."""
+
+    ASK = "ask"
+    OUT = "take out of service"
+    APPLY = "change"
+    UNDO = "change back"
+    IN = "put in service"
+
+
+@dataclass(frozen=True, slots=True)
+class Do:
+    """One order to a router."""
+
+    router: str
+    act: Act
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision for the history: a stable name, a sentence, and the figures that it was made on."""
+
+    name: str
+    text: str
+    figures: Mapping[str, object] = field(default_factory=dict)
+
+
+Effect = Do | Note
+
+
+@dataclass(slots=True)
+class Router:
+    """One router as the rollout knows it."""
+
+    target: Target
+    phase: Phase = Phase.WAITING
+    since_ns: int = 0
+    heard_ns: int = -1  # last report; -1 = none yet
+    report: Report | None = None
+    first: Mapping[str, str] = field(default_factory=dict)  # digests before anything
+    invariants: int = 0  # counted by the instance when the phase began
+    before: dict[str, Sample] = field(default_factory=dict)  # by class, while nothing was changed
+    fresh: dict[str, Sample] = field(default_factory=dict)  # by class, since the last slice
+
+
+class Rollout:
+    """One run of a plan.  ``handle`` is the only way to change it."""
+
+    def __init__(self, plan: Plan, now: int) -> None:
+        self.plan, self.now = plan, now
+        self.routers = {t.name: Router(t, since_ns=now) for t in plan.routers}
+        self.stages = plan.by_stage()
+        self.stage, self.stage_ns = -1, now
+        self.outcome = Outcome.RUNNING
+        self.why = ""  # it is held or taken back
+        self.judge = Judge(plan.rates)
+        self.polled_ns = self.sliced_ns = now - plan.every_ns
+        self.harmed: Place | None = None
+        self.after_ns = -1  # since when all is taken back
+        self.effects: list[Effect] = []
+
+    def handle(self, now: int, event: Event) -> list[Effect]:
+        """One event.  The time never runs back: an earlier one counts as the last."""
+        self.now, self.effects = max(now, self.now), []
+        if isinstance(event, Report):
+            self.on_report(event)
+        elif isinstance(event, Order):
+            self.on_order(event)
+        if self.outcome not in (Outcome.DONE, Outcome.REVERTED):
+            self.poll()
+            self.step()
+        return self.effects
+
+    # What is heard ----------------------------------------------------------------------------------------
+
+    def on_report(self, r: Report) -> None:
+        router = self.routers.get(r.router)
+        if router is None:
+            return
+        last = router.report
+        if last is None:
+            router.first = dict(r.digests)
+        elif r.instance == last.instance and (
+            r.invariants < last.invariants
+            or any(r.classes.get(cls, Sample()).asked < told.asked for cls, told in last.classes.items())
+        ):
+            self.note(
+                "contradiction", f"{r.router} counts less than before; that is not used", router=r.router
+            )
+            return
+        router.heard_ns, router.report = self.now, r
+        for cls, total in r.classes.items():
+            earlier = last.classes.get(cls, Sample()) if last and last.instance == r.instance else Sample()
+            more = Sample(
+                total.asked - earlier.asked, total.worth - earlier.worth, total.in_time - earlier.in_time
+            )
+            if last is None:
+                continue  # what was before the rollout is of unknown length
+            router.fresh[cls] = router.fresh.get(cls, Sample()) + more
+        if (
+            last
+            and last.instance != r.instance
+            and router.phase not in (Phase.CHANGED, Phase.UNDONE, Phase.OUT, Phase.LEAVING)
+        ):
+            self.harm(
+                router, "crash", f"{r.router} was started again by nobody's order"
+            ) if router.phase in NEW else self.note(
+                "restarted", f"{r.router} was started again", router=r.router
+            )
+        elif r.invariants > router.invariants and router.phase in NEW:
+            self.harm(router, "invariant", f"{r.router} counts {r.invariants} broken invariants")
+
+    def on_order(self, order: Order) -> None:
+        if order is Order.HOLD and self.outcome is Outcome.RUNNING:
+            self.hold("ordered")
+        elif order is Order.RESUME and self.outcome is Outcome.HELD:
+            self.outcome, self.why, self.stage_ns = Outcome.RUNNING, "", self.now
+            self.note("resumed", "the rollout goes on")
+        elif order is Order.REVERT and self.outcome in (Outcome.RUNNING, Outcome.HELD):
+            self.revert("ordered")
+
+    # What is known ----------------------------------------------------------------------------------------
+
+    def unknown(self, router: Router) -> bool:
+        """Whether nothing was heard of a router for so long that nothing is known of it."""
+        return self.now - max(router.heard_ns, self.begun(router)) > STALE_TURNS * self.plan.every_ns
+
+    def begun(self, router: Router) -> int:
+        """A process that is being changed is silent for a while, and has until ready to speak."""
+        waits = router.phase in (Phase.CHANGED, Phase.UNDONE)
+        return router.since_ns + (self.plan.ready_ns if waits else 0)
+
+    def told(self, router: Router, new: bool) -> bool:
+        """Whether a router says that it is the new, or the old as it was at first."""
+        if router.report is None:
+            return False
+        digests = router.report.digests
+        if new:
+            return all(digests.get(what) == digest for what, digest in self.plan.change)
+        return all(digests.get(what) == router.first.get(what) for what, _ in self.plan.change)
+
+    def away(self, zone: str = "") -> int:
+        """Routers that do not serve as they should: being changed, cold, or unknown."""
+        return sum(
+            1
+            for r in self.routers.values()
+            if (not zone or r.target.zone == zone) and (r.phase in AWAY or self.unknown(r))
+        )
+
+    def room(self, router: Router) -> bool:
+        """Whether one more may be away.  A router that is unknown itself is not begun."""
+        zone = router.target.zone
+        return (
+            not self.unknown(router)
+            and router.heard_ns >= 0
+            and self.away() < self.plan.at_once
+            and self.away(zone) < self.plan.per_zone
+        )
+
+    # What is done -----------------------------------------------------------------------------------------
+
+    def poll(self) -> None:
+        """Ask every router, in every turn."""
+        if self.now - self.polled_ns >= self.plan.every_ns:
+            self.polled_ns = self.now
+            self.effects += [Do(name, Act.ASK) for name in self.routers]
+
+    def step(self) -> None:
+        """All that can go on now."""
+        self.slice()
+        for router in self.routers.values():
+            self.advance(router)
+        lost = sorted(n for n, r in self.routers.items() if self.unknown(r))
+        if self.outcome is Outcome.RUNNING and len(lost) > self.plan.unknown_most:
+            self.hold(f"{len(lost)} routers do not answer: {', '.join(lost[:5])}")
+        if self.outcome is Outcome.RUNNING:
+            self.forward()
+        elif self.outcome is Outcome.REVERTING:
+            self.backward()
+
+    def advance(self, router: Router) -> None:
+        """One router's way through what was begun at it."""
+        r, waited = router.report, self.now - router.since_ns
+        heard = r is not None and router.heard_ns >= router.since_ns  # since the phase began
+        assert r is not None or not heard
+        if router.phase in (Phase.OUT, Phase.LEAVING):
+            if heard and r is not None and not r.in_service:
+                undo = router.phase is Phase.LEAVING
+                self.enter(router, Phase.UNDONE if undo else Phase.CHANGED)
+                self.effects.append(Do(router.target.name, Act.UNDO if undo else Act.APPLY))
+            elif waited > self.plan.ready_ns:
+                self.stuck(router, "does not go out of service")
+        elif router.phase in (Phase.CHANGED, Phase.UNDONE):
+            new = router.phase is Phase.CHANGED
+            if heard and r is not None and r.ready and self.told(router, new):
+                self.enter(router, Phase.COLD if new else Phase.TAKEN_BACK)
+                self.effects.append(Do(router.target.name, Act.IN))
+            elif waited > self.plan.ready_ns:
+                what = (
+                    "says that it is something else"
+                    if heard and r is not None and r.ready
+                    else "is not ready"
+                )
+                if new:
+                    self.harm(router, "not-ready", f"{router.target.name} {what} in time after its change")
+                else:
+                    self.stuck(router, f"{what} in time after it was changed back")
+        elif (
+            router.phase is Phase.COLD and heard and waited >= self.plan.cold_ns and not self.unknown(router)
+        ):
+            router.fresh.clear()
+            self.enter(router, Phase.JUDGED)
+        elif (
+            router.phase in (Phase.JUDGED, Phase.KEPT)
+            and heard
+            and r is not None
+            and not self.told(router, True)
+        ):
+            self.harm(router, "wrong-digest", f"{router.target.name} says that it is something else")
+
+    def stuck(self, router: Router, what: str) -> None:
+        """It does not come on, and no harm is shown: people are asked, once."""
+        if self.outcome is Outcome.RUNNING:
+            self.hold(f"{router.target.name} {what}")
+        elif self.outcome is Outcome.REVERTING and not self.why.endswith(what):
+            self.why = f"{router.target.name} {what}"
+            self.note("stuck", self.why, router=router.target.name)
+
+    def enter(self, router: Router, phase: Phase) -> None:
+        router.phase, router.since_ns = phase, self.now
+        if phase in (Phase.COLD, Phase.TAKEN_BACK) and router.report is not None:
+            router.invariants = router.report.invariants if phase is Phase.TAKEN_BACK else 0
+
+    def forward(self) -> None:
+        """Begin what the stage wants, and end the stage when all of it is shown to be well."""
+        if self.stage < 0:
+            if any(r.heard_ns < 0 for r in self.routers.values()):
+                if self.now - self.stage_ns > self.plan.ready_ns:
+                    missing = sorted(n for n, r in self.routers.items() if r.heard_ns < 0)
+                    self.hold(f"never heard of {', '.join(missing[:5])}")
+                return
+            if self.now - self.stage_ns < self.plan.slowest_ns:
+                return  # each router's own figures from before the change
+            self.begin(0)
+        here = [self.routers[t.name] for t in self.stages[self.stage]]
+        for router in here:
+            if router.phase is Phase.WAITING and self.room(router):
+                if self.told(router, True):
+                    self.note(
+                        "already", f"{router.target.name} is the new already", router=router.target.name
+                    )
+                    self.enter(router, Phase.COLD)
+                    continue
+                self.enter(router, Phase.OUT)
+                self.effects.append(Do(router.target.name, Act.OUT))
+                self.note("begun", f"{router.target.name} is changed", router=router.target.name)
+        if any(router.phase is not Phase.JUDGED for router in here):
+            return
+        warm = self.now - max((router.since_ns for router in here), default=self.now)
+        stage = self.plan.stages[self.stage]
+        verdict, place = self.judge.verdict(self.comparable())
+        if (
+            verdict is not Verdict.WORSE
+            and warm >= stage.least_ns
+            and (verdict is Verdict.FINE or not self.comparable())
+            and not any(map(self.unknown, here))
+        ):
+            alone = sorted({r.target.zone for r in here} - {zone for zone, _ in self.comparable()})
+            more = f"; nothing was left to compare with in {', '.join(alone)}" if alone else ""
+            self.note("stage-good", f"stage {stage.name!r} is good{more}", **self.judge.figures())
+            for router in here:
+                self.enter(router, Phase.KEPT)
+            if self.stage + 1 == len(self.stages):
+                self.outcome = Outcome.DONE
+                self.note("done", f"all {len(self.routers)} routers are changed")
+            else:
+                self.begin(self.stage + 1)
+        elif warm > stage.most_ns:
+            self.hold(
+                f"stage {stage.name!r}: not enough evidence"
+                + (f" of class {place[1]!r} in zone {place[0]!r}" if place else "")
+            )
+
+    def begin(self, stage: int) -> None:
+        """A stage, with what each side did before."""
+        self.stage, self.stage_ns, self.judge = stage, self.now, Judge(self.plan.rates)
+        changing = {t.name for t in self.stages[stage]}
+        for name, router in self.routers.items():
+            if router.phase is Phase.WAITING:
+                self.judge.before(
+                    name in changing,
+                    {(router.target.zone, cls): sample for cls, sample in router.before.items()},
+                )
+        self.note("stage", f"stage {self.plan.stages[stage].name!r} begins", routers=sorted(changing))
+
+    def comparable(self) -> frozenset[Place]:
+        """Zones and classes of this stage in which an old router is left and both sides are asked."""
+        old, new = (set(self.places(side)) for side in (False, True))
+        return frozenset(old & new)
+
+    def places(self, new: bool) -> Iterator[Place]:
+        changing = {t.name for t in self.stages[self.stage]}
+        for name, router in self.routers.items():
+            if router.phase is (Phase.JUDGED if new else Phase.WAITING) and (not new or name in changing):
+                for cls, sample in (router.report.classes if router.report else {}).items():
+                    if sample.asked:
+                        yield router.target.zone, cls
+
+    def slice(self) -> None:
+        """A slice of time: what each side did in it goes to the judge, or to the figures from before."""
+        if self.now - self.sliced_ns < self.plan.every_ns:
+            return
+        self.sliced_ns = self.now
+        sides: dict[bool, dict[Place, Sample]] = {True: {}, False: {}}
+        for router in self.routers.values():
+            fresh, router.fresh = router.fresh, {}
+            new = router.phase is (Phase.TAKEN_BACK if self.after_ns >= 0 else Phase.JUDGED)
+            if router.phase is Phase.WAITING:    # all that still wait are the old, at the same time
+                for cls, sample in fresh.items():
+                    router.before[cls] = router.before.get(cls, Sample()) + sample
+            if self.stage >= 0 and (new or router.phase is Phase.WAITING) and not self.unknown(router):
+                for cls, sample in fresh.items():
+                    place = router.target.zone, cls
+                    sides[new][place] = sides[new].get(place, Sample()) + sample
+        if self.stage >= 0:
+            self.judge.slice(sides[True], sides[False])
+            verdict, worst = self.judge.verdict(frozenset())
+            if verdict is Verdict.WORSE and worst and self.outcome in (Outcome.RUNNING, Outcome.HELD):
+                self.harmed = worst
+                self.stop(
+                    "worse", f"class {worst[1]!r} does worse in zone {worst[0]!r}", self.judge.figures()
+                )
+
+    # What stops it ----------------------------------------------------------------------------------------
+
+    def hold(self, why: str) -> None:
+        self.outcome, self.why = Outcome.HELD, why
+        self.note("held", why, **self.judge.figures())
+
+    def harm(self, router: Router, name: str, why: str) -> None:
+        """A sign that needs no statistics."""
+        if self.outcome in (Outcome.RUNNING, Outcome.HELD):
+            self.stop(name, why, {"router": router.target.name})
+
+    def stop(self, name: str, why: str, figures: Mapping[str, object]) -> None:
+        self.note(name, why, **figures)
+        if self.plan.take_back:
+            self.revert(why)
+        elif self.outcome is Outcome.RUNNING:
+            self.hold(why)
+
+    def revert(self, why: str) -> None:
+        self.outcome, self.why = Outcome.REVERTING, why
+        self.note("reverting", f"taken back: {why}")
+
+    def backward(self) -> None:
+        """Take back what is changed, the last first, within the limits."""
+        left = [r for r in reversed(list(self.routers.values())) if r.phase in NEW or r.phase is Phase.OUT]
+        for router in left:
+            if router.phase is Phase.OUT:  # not changed yet: it goes back in as it is
+                self.enter(router, Phase.TAKEN_BACK)
+                self.effects.append(Do(router.target.name, Act.IN))
+            elif router.phase in AWAY or self.unknown(router) or self.room(router):
+                # One that is away already, or silent, is no loss of capacity: it need not wait for room.
+                self.enter(router, Phase.LEAVING if not self.unknown(router) else Phase.UNDONE)
+                self.effects.append(Do(router.target.name, Act.OUT if not self.unknown(router) else Act.UNDO))
+        back = [r for r in self.routers.values() if r.phase not in (Phase.WAITING, Phase.TAKEN_BACK)]
+        if back:
+            return
+        if self.after_ns < 0:
+            self.after_ns = self.now
+            self.judge = Judge(self.plan.rates)
+            for router in self.routers.values():
+                router.fresh.clear()
+                new = router.phase is Phase.TAKEN_BACK
+                self.judge.before(new, {(router.target.zone, c): s for c, s in router.before.items()})
+            self.note("taken-back", "all that was changed is taken back")
+        verdict, place = self.judge.verdict(frozenset((self.harmed,)) if self.harmed else frozenset())
+        over = self.now - self.after_ns > max((s.most_ns for s in self.plan.stages), default=0)
+        if self.harmed is None or verdict is not Verdict.OPEN or over:
+            self.outcome = Outcome.REVERTED
+            words = (
+                "there was no figure to compare"
+                if self.harmed is None
+                else "the harm is still there: it is not the change's"
+                if verdict is Verdict.WORSE
+                else "the harm is gone"
+                if verdict is Verdict.FINE
+                else "whether the harm is gone is not known"
+            )
+            self.note("ended", f"taken back; {words}", **self.judge.figures())
+
+    def note(self, name: str, text: str, **figures: object) -> None:
+        self.effects.append(Note(name, text, figures))
--- /dev/null
+++ b/kelplab/rollouts.py
@@ -0,0 +1,168 @@
+"""Routers as a rollout sees them, in virtual time: processes that start, serve, go out of service and back,
+crash and fall silent, with a share of requests that is not answered in time.  For tests and benchmarks of
+``kelpcroft.rollout``; a seed replays a run."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from kelpcroft.rollout.judge import Sample
+from kelpcroft.rollout.plan import Plan, load
+from kelpcroft.rollout.stages import Act, Do, Event, Note, Order, Outcome, Report, Rollout, Silent, Tick
+
+S = 10**9
+Harm = Callable[["World", "Process", str], float]  # of a class at a router now, over the usual
+
+
+def plan_of(zones: int, each: int, stages: str = "", more: str = "") -> Plan:
+    """A plan for so many zones of so many routers; one stage of one router, one of a half, and the rest."""
+    names = [(f"n{z}-{n}", f"z{z}") for z in range(zones) for n in range(each)]
+    text = 'rollout version=1\nchange { program build="beef"; }\n' + "".join(
+        f'router "{name}" zone="{zone}"\n' for name, zone in names
+    )
+    text += stages or (
+        'stage "one" count=1 least="30s" most="900s"\nstage "half" share="50%" least="30s" most="900s"\n'
+        'stage "all" share="100%" least="30s" most="900s"\n'
+    )
+    text += (
+        more
+        or 'limits at-once=3 per-zone=1\nwatch every="1s" slowest="30s" ready="10s" cold="10s" unknown=1\n'
+    )
+    plan, faults = load(text.encode())
+    assert not faults, [f.text("plan") for f in faults]
+    return plan
+
+
+@dataclass
+class Process:
+    """One router."""
+
+    name: str
+    zone: str
+    build: str = "old"
+    wanted: str = "old"
+    instance: int = 1
+    in_service: bool = True
+    ready_at: int = 0
+    started: int = 0
+    alive: bool = True
+    silent_until: int = 0
+    invariants: int = 0
+    classes: dict[str, Sample] = field(default_factory=dict)
+
+
+class World:
+    """All routers of a plan, and the rollout that changes them."""
+
+    def __init__(self, plan: Plan, seed: int, harm: Harm, rate: float = 30.0, usual: float = 0.03) -> None:
+        self.plan, self.random, self.harm = plan, Random(seed), harm
+        self.rate, self.usual = rate, usual
+        self.now = 1_000 * S
+        self.processes = {t.name: Process(t.name, t.zone) for t in plan.routers}
+        self.rollout = Rollout(plan, self.now)
+        self.notes: list[Note] = []
+        self.orders: list[tuple[int, str, Act]] = []
+        self.most_away: dict[str, int] = {}
+        self.touched: set[str] = set()
+        self.harmed = 0.0  # requests that the change cost
+        self.lost_orders = 0.0  # share of orders that never arrive
+        self.never_ready = False  # of the new build
+        self.crash_after = 0  # of the new build, in ns
+        self.wander = 0.0
+
+    def tell(self, event: Event) -> None:
+        for effect in self.rollout.handle(self.now, event):
+            if isinstance(effect, Note):
+                self.notes.append(effect)
+            elif effect.act is Act.ASK:
+                self.ask(self.processes[effect.router])
+            else:
+                self.orders.append((self.now, effect.router, effect.act))
+                if self.random.random() >= self.lost_orders:
+                    self.order(effect)
+
+    def ask(self, p: Process) -> None:
+        if not p.alive or self.now < p.silent_until or self.now < p.ready_at and p.started == self.now:
+            self.later.append(Silent(p.name))
+        else:
+            ready = self.now >= p.ready_at
+            self.later.append(
+                Report(
+                    p.name,
+                    f"{p.name}-{p.instance}",
+                    {"program": p.build},
+                    ready,
+                    p.in_service and ready,
+                    p.invariants,
+                    dict(p.classes),
+                )
+            )
+
+    def order(self, do: Do) -> None:
+        p = self.processes[do.router]
+        if do.act is Act.OUT:
+            p.in_service = False
+        elif do.act is Act.IN:
+            p.in_service = True
+        else:
+            build = "beef" if do.act is Act.APPLY else "old"
+            self.touched.add(p.name)
+            if p.build != build:
+                self.start(p, build)
+
+    def start(self, p: Process, build: str) -> None:
+        p.build, p.instance, p.started, p.classes, p.invariants = build, p.instance + 1, self.now, {}, 0
+        p.alive = True
+        p.ready_at = 1 << 80 if build == "beef" and self.never_ready else self.now + 2 * S
+
+    def second(self) -> None:
+        """One second: requests, then the rollout's turn."""
+        self.now += S
+        self.later: list[Event] = []
+        self.wander = 0.95 * self.wander + self.random.gauss(0, 0.01)
+        for p in self.processes.values():
+            if (
+                p.build == "beef"
+                and self.crash_after
+                and p.alive
+                and self.now - p.started >= self.crash_after
+            ):
+                self.start(p, "beef")  # the platform starts it again
+            if not p.alive or not p.in_service or self.now < p.ready_at:
+                continue
+            for cls in ("reads", "writes"):
+                rate = self.rate if cls == "reads" else self.rate / 3
+                asked = max(0, round(self.random.gauss(rate, math.sqrt(rate))))
+                more = self.harm(self, p, cls)
+                share = min(1.0, max(0.0, self.usual + self.wander + more))
+                spread = math.sqrt(asked * share * (1 - share))
+                bad = min(asked, max(0, round(self.random.gauss(asked * share, spread))))
+                self.harmed += asked * more if p.build == "beef" else 0.0
+                p.classes[cls] = p.classes.get(cls, Sample()) + Sample(
+                    asked, float(asked), float(asked - bad)
+                )
+        self.tell(Tick())
+        for event in self.later:
+            self.tell(event)
+        away: dict[str, int] = {"": 0}
+        for p in self.processes.values():
+            if not p.alive or not p.in_service or self.now < p.ready_at:
+                away[""] += 1
+                away[p.zone] = away.get(p.zone, 0) + 1
+        for zone, count in away.items():
+            self.most_away[zone] = max(count, self.most_away.get(zone, 0))
+
+    def run(self, seconds: int = 4_000, orders: dict[int, Order] | None = None) -> Outcome:
+        """Until it is over or held."""
+        for n in range(seconds):
+            if orders and n in orders:
+                self.tell(orders[n])
+            self.second()
+            if self.rollout.outcome in (Outcome.DONE, Outcome.REVERTED):
+                break
+            if self.rollout.outcome is Outcome.HELD and not (orders and any(at > n for at in orders)):
+                break
+        return self.rollout.outcome
--- a/kelplab/standin.py
+++ b/kelplab/standin.py
@@ -270,8 +270,9 @@
         retry: bool = False,
         body: bytes = b"",
         trace: str = "",
+        more: dict[str, str] | None = None,
     ) -> str:
-        """A request; its trace id."""
+        """A request; its trace id.  ``more``: further fields, such as nonce and size."""
         self.calls += 1
         trace = trace or secrets.token_hex(8)
         fields = {
@@ -281,6 +282,7 @@
             "block": str(part),
             "family": str(group),
             **({"redo": "1"} if retry else {}),
+            **(more or {}),
         }
         self.sent_ns[self.calls] = time.monotonic_ns()
         self.sock.sendall(msgpack.packb([0, self.calls, cls, [fields, body]]))
--- a/tests/test_early_limits.py
+++ b/tests/test_early_limits.py
@@ -42,6 +42,22 @@
             end(p, S + 900 * MS, f, Outcome.OK, took=900 * MS, note=Note.HIT)
         self.assertTrue(all(burst(p, S + 950 * MS, int(CACHES) // 2, 400.0, "after")))
 
+    def test_a_burst_that_is_called_off_at_once_keeps_nobody_out(self) -> None:
+        """A client that asked for hundreds and cancelled them filled the offered work of four seconds."""
+        refused = {}
+        for called_off in (True, False):
+            p = policy()
+            for n in range(400):
+                for f in fetches(ask(p, S, f"b{n}", n, size_kb=400.0)):
+                    if called_off:
+                        p.handle(S + MS, api.ClientGone(f.id))
+                    end(p, S + 2 * MS, f, Outcome.CANCELLED if called_off else Outcome.OK, took=MS)
+                if called_off and f"b{n}" in p.held:
+                    p.handle(S + MS, api.ClientGone(f"b{n}"))
+            refused[called_off] = sum(not sent for sent in burst(p, S + 50 * MS, 10, 600.0, "after"))
+        self.assertEqual(refused[True], 0)
+        self.assertGreater(refused[False], 0, "work that was done is load")
+
     def test_a_share_of_several_routers(self) -> None:
         alone, one_of_four = policy(), policy(zone_instances=4)
         self.assertGreater(sum(burst(alone, S, 100, 400.0)), 2 * sum(burst(one_of_four, S, 100, 400.0)))
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,292 @@
+"""The plan, the judgement and the state machine of a rollout, in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpcroft.rollout.judge import Bet, Judge, Rates, Sample, Verdict
+from kelpcroft.rollout.plan import load
+from kelpcroft.rollout.stages import Act, Order, Outcome, Phase, Report, Rollout
+from kelplab.rollouts import Process, S, World, plan_of
+
+HEAD = "rollout version=1\n"
+GOOD = (
+    HEAD
+    + """change { program build="5f2c09e1"; }
+router "a1" zone="a"; router "a2" zone="a"; router "b1" zone="b"; router "b2" zone="b"
+stage "one" count=1 least="30s" most="5m"
+stage "two" count=2 least="30s" most="5m"
+stage "all" share="100%" least="30s" most="5m"
+limits at-once=1 per-zone=1
+"""
+)
+
+
+def codes(text: str) -> list[str]:
+    return [f.code for f in load(text.encode())[1]]
+
+
+class Plans(unittest.TestCase):
+    def test_a_good_one(self) -> None:
+        plan, faults = load(GOOD.encode())
+        self.assertEqual(faults, [])
+        self.assertEqual([[t.name for t in s] for s in plan.by_stage()], [["a1"], ["b1"], ["a2", "b2"]])
+        self.assertGreater(plan.longest_ns(), 600 * S)
+
+    def test_each_fault_by_its_code(self) -> None:
+        for old, new, due in (
+            (HEAD, "", "no-version"),
+            ("version=1", "version=7", "unknown-version"),
+            ('change { program build="5f2c09e1"; }', "change { }", "no-change"),
+            ('change { program build="5f2c09e1"; }', "", "no-change"),
+            ('"5f2c09e1"', '"master"', "bad-digest"),
+            ('router "a2"', 'router "a1"', "duplicate-name"),
+            ('zone="a"; router "a2"', 'zone="a" control="here"; router "a2"', "bad-address"),
+            ('"one" count=1', '"one" count=4', "stage-shrinks"),
+            ('"one" count=1', '"one"', "missing-value"),
+            ('"one" count=1', '"one" count=1 share="9%"', "count-and-share"),
+            ('share="100%"', 'share="75%"', "not-all"),
+            ('share="100%"', 'share="150%"', "bad-share"),
+            ('count=1 least="30s"', 'count=1 least="5s"', "bake-too-short"),
+            ('count=1 least="30s" most="5m"', 'count=1 least="30s" most="20s"', "least-over-most"),
+            ("per-zone=1", "per-zone=2", "zone-out"),
+            ("limits", 'order "c"\nlimits', "unknown-zone"),
+            ("limits", "limit", "unknown-node"),
+            ("at-once=1", "at-onc=1", "unknown-key"),
+            ("limits", "stop harm=0.9\nlimits", "bad-rate"),
+            ("limits", 'then "pray"\nlimits', "unknown-word"),
+            ('"one" count=1', '"one" count=0', "bad-count"),
+            ("limits", "limits;limits", "duplicate-node"),
+        ):
+            with self.subTest(new=new):
+                self.assertIn(due, codes(GOOD.replace(old, new, 1)))
+
+    def test_a_stage_that_takes_a_whole_zone_is_refused(self) -> None:
+        self.assertIn("whole-zone", codes(GOOD.replace('stage "two" count=2 least="30s" most="5m"\n', "")))
+        alone = GOOD.replace('; router "b2" zone="b"', "").replace("count=2", 'share="50%"')
+        self.assertEqual(codes(alone), [], "b1 is alone: nothing could be left there")
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.binary(max_size=60), st.integers(0, len(GOOD)))
+    def test_a_broken_file_never_crashes(self, cut: bytes, at: int) -> None:
+        load(GOOD[:at].encode() + cut + GOOD[at:].encode())
+
+
+class Judged(unittest.TestCase):
+    def test_harm_of_one_class_in_one_zone_is_found(self) -> None:
+        judge = Judge(Rates())
+        for _ in range(300):
+            new = {
+                ("a", "x"): Sample(30, 30.0, 29.0),
+                ("a", "y"): Sample(30, 30.0, 24.0),
+                ("b", "x"): Sample(30, 30.0, 29.0),
+            }
+            judge.slice(new, {place: Sample(90, 90.0, 87.0) for place in new})
+        self.assertEqual(judge.verdict(frozenset(new)), (Verdict.WORSE, ("a", "y")))
+        self.assertIs(judge.bets["b", "x"].verdict, Verdict.FINE)
+
+    def test_what_strikes_both_sides_or_was_there_before_is_no_harm(self) -> None:
+        judge, place = Judge(Rates()), ("a", "x")
+        judge.before(True, {place: Sample(3_000, 3_000.0, 2_400.0)})
+        judge.before(False, {place: Sample(9_000, 9_000.0, 8_550.0)})
+        for n in range(400):
+            both = 0.5 if 100 < n < 160 else 0.0
+            judge.slice(
+                {place: Sample(100, 100.0, 80 * (1 - both))}, {place: Sample(300, 300.0, 285 * (1 - both))}
+            )
+        self.assertIs(judge.bets[place].verdict, Verdict.FINE)
+
+    def test_few_requests_are_no_evidence(self) -> None:
+        judge, place = Judge(Rates()), ("a", "x")
+        judge.slice({place: Sample(3, 3.0, 0.0)}, {place: Sample(900, 900.0, 900.0)})
+        self.assertEqual(judge.verdict(frozenset((place,))), (Verdict.OPEN, place))
+        self.assertEqual(judge.verdict(frozenset()), (Verdict.OPEN, None), "no place at all is no evidence")
+
+    def test_insane_figures_say_nothing(self) -> None:
+        bet = Bet(Rates())
+        for odd in (float("nan"), float("inf"), -float("inf")):
+            bet.add(odd)
+        self.assertEqual((bet.slices, bet.verdict), (0, Verdict.OPEN))
+        for wrong in ({"harm": 0.5}, {"tolerance": 0.2}, {"false_stop": 0.0}, {"missed_harm": 0.7}):
+            with self.assertRaises(ValueError):
+                Rates(**wrong)
+
+
+def sound(world: World, p: Process, cls: str) -> float:
+    return 0.0
+
+
+def harmful(share: float, cls: str = "", zone: str = "") -> object:
+    def harm(world: World, p: Process, found: str) -> float:
+        return share if p.build == "beef" and cls in ("", found) and zone in ("", p.zone) else 0.0
+
+    return harm
+
+
+class Runs(unittest.TestCase):
+    """Twelve routers in three zones."""
+
+    def world(self, harm: object, seed: int = 1) -> World:
+        return World(plan_of(3, 4), seed, harm)  # type: ignore[arg-type]
+
+    def test_a_sound_change_is_done_within_the_limits(self) -> None:
+        for seed in range(4):
+            world = self.world(sound, seed)
+            self.assertEqual(world.run(), Outcome.DONE, world.rollout.why)
+            self.assertEqual({p.build for p in world.processes.values()}, {"beef"})
+            self.assertEqual([a for _, _, a in world.orders].count(Act.APPLY), 12, "none is changed twice")
+            self.assertLessEqual(world.most_away[""], 3)
+            self.assertLessEqual(max(world.most_away[f"z{n}"] for n in range(3)), 1)
+
+    def test_a_trouble_of_a_whole_zone_stops_nothing(self) -> None:
+        def hub_lost(world: World, p: Process, cls: str) -> float:
+            return 0.4 if p.zone == "z0" and 60 <= world.now / S - 1_000 < 120 else 0.0
+
+        world = self.world(hub_lost)
+        self.assertEqual(world.run(), Outcome.DONE, world.rollout.why)
+
+    def test_harm_stops_in_the_first_stage_where_it_can_be_seen(self) -> None:
+        for harm, most in (
+            (harmful(0.3), 1),
+            (harmful(0.08), 1),
+            (harmful(0.3, cls="writes"), 1),
+            (harmful(0.3, zone="z2"), 6),
+        ):
+            world = self.world(harm)
+            self.assertEqual(world.run(), Outcome.REVERTED, world.rollout.why)
+            self.assertLessEqual(len(world.touched), most)
+            self.assertEqual({p.build for p in world.processes.values()}, {"old"})
+            self.assertIn("the harm is gone", world.notes[-1].text)
+            self.assertTrue(all(p.in_service for p in world.processes.values()))
+
+    def test_signs_that_need_no_statistics(self) -> None:
+        def crash(w: World) -> None:
+            w.crash_after = 5 * S
+
+        def never(w: World) -> None:
+            w.never_ready = True
+
+        for defect, due in ((crash, "crash"), (never, "not-ready")):
+            world = self.world(sound)
+            defect(world)
+            self.assertEqual(world.run(), Outcome.REVERTED)
+            self.assertIn(due, [n.name for n in world.notes])
+            self.assertEqual(len(world.touched), 1)
+
+    def test_a_broken_invariant_and_another_build(self) -> None:
+        for change, due in (({"invariants": 1}, "invariant"), ({"build": "cafe"}, "wrong-digest")):
+            world = self.world(sound)
+            for _ in range(400):
+                world.second()
+                for p in world.processes.values():
+                    if p.build == "beef" and world.rollout.routers[p.name].phase is Phase.JUDGED:
+                        for key, value in change.items():
+                            setattr(p, key, value)
+                if world.rollout.outcome is not Outcome.RUNNING:
+                    break
+            self.assertIn(due, [n.name for n in world.notes])
+
+    def test_harm_that_stays_is_not_the_changes(self) -> None:
+        def broken_place(world: World, p: Process, cls: str) -> float:
+            began = next((at for at, _, act in world.orders if act is Act.APPLY), 0)
+            return 0.3 if p.name == "n0-0" and began and world.now > began else 0.0
+
+        world = self.world(broken_place)
+        self.assertEqual(world.run(), Outcome.REVERTED)
+        self.assertIn("not the change's", world.notes[-1].text)
+
+    def test_no_evidence_holds_and_says_what_is_missing(self) -> None:
+        world = World(plan_of(3, 4), 1, sound, rate=0.3)
+        self.assertEqual(world.run(), Outcome.HELD)
+        self.assertIn("not enough evidence of class", world.rollout.why)
+        self.assertEqual(len(world.touched), 1)
+
+    def test_silent_routers_hold_it_and_are_never_good(self) -> None:
+        world = self.world(sound)
+        for n, p in enumerate(world.processes.values()):
+            p.silent_until = (1_050 + 100) * S if n < 5 else 0
+        while world.now < 1_045 * S:
+            world.second()
+        self.assertEqual(world.rollout.outcome, Outcome.HELD)
+        self.assertIn("do not answer", world.rollout.why)
+        world.run(200, {150: Order.RESUME})
+        self.assertEqual(world.run(), Outcome.DONE, world.rollout.why)
+
+    def test_lost_orders_hold_and_change_nobody_twice(self) -> None:
+        for seed in range(4):
+            world = self.world(sound, seed)
+            world.lost_orders = 0.2
+            world.run(3_000)
+            self.assertIn(
+                world.rollout.outcome, (Outcome.HELD, Outcome.DONE, Outcome.REVERTED, Outcome.REVERTING)
+            )
+            starts = {p.name: p.instance for p in world.processes.values()}
+            self.assertLessEqual(max(starts.values()), 3, "changed once, and taken back once at most")
+            self.assertLessEqual(world.most_away[""], 4, "three, and one whose order to go in was lost")
+
+    def test_people_hold_resume_and_revert(self) -> None:
+        world = self.world(sound)
+        self.assertEqual(
+            world.run(2_000, {60: Order.HOLD, 90: Order.RESUME, 200: Order.REVERT}), Outcome.REVERTED
+        )
+        self.assertEqual({p.build for p in world.processes.values()}, {"old"})
+
+    def test_contradictions_and_strangers_are_named_and_not_used(self) -> None:
+        rollout = Rollout(plan_of(1, 4), 0)
+        digests = {"program": "old"}
+        rollout.handle(S, Report("n0-0", "i", digests, True, True, 0, {"x": Sample(50, 50.0, 50.0)}))
+        effects = rollout.handle(
+            2 * S, Report("n0-0", "i", digests, True, True, 0, {"x": Sample(40, 40.0, 40.0)})
+        )
+        self.assertIn("contradiction", [getattr(e, "name", "") for e in effects])
+        rollout.handle(3 * S, Report("who", "i", digests, True, True))
+        self.assertEqual(rollout.routers["n0-0"].heard_ns, S)
+        self.assertNotIn("who", rollout.routers)
+
+    @settings(max_examples=12, deadline=None, derandomize=True)
+    @given(
+        st.integers(0, 10**6),
+        st.lists(
+            st.tuples(
+                st.integers(0, 500),
+                st.sampled_from(["silent", "crash", "kill", "hold", "resume", "revert", "defect"]),
+                st.integers(0, 11),
+            ),
+            max_size=8,
+        ),
+    )
+    def test_whatever_happens(self, seed: int, faults: list[tuple[int, str, int]]) -> None:
+        """Limits hold for what the rollout itself takes away, and what has ended stays ended."""
+        defect = [0.0]
+        world = World(plan_of(3, 4), seed, lambda w, p, c: defect[0] if p.build == "beef" else 0.0, rate=10.0)
+        names = list(world.processes)
+        for second in range(700):
+            for at, what, who in faults:
+                if at != second:
+                    continue
+                p = world.processes[names[who]]
+                if what == "silent":
+                    p.silent_until = world.now + 20 * S
+                elif what == "crash":
+                    world.start(p, p.build)
+                elif what == "kill":
+                    p.alive = False
+                elif what == "defect":
+                    defect[0] = 0.4
+                else:
+                    world.tell(Order(what))
+            before = world.rollout.outcome
+            world.second()
+            phases = [r.phase for r in world.rollout.routers.values()]
+            under_way = sum(
+                x in (Phase.OUT, Phase.CHANGED, Phase.COLD, Phase.LEAVING, Phase.UNDONE) for x in phases
+            )
+            if world.rollout.outcome is not Outcome.REVERTING:
+                self.assertLessEqual(under_way, 3)
+            if before in (Outcome.DONE, Outcome.REVERTED):
+                self.assertIs(world.rollout.outcome, before)
+            if world.rollout.outcome is Outcome.DONE:
+                self.assertEqual(set(phases), {Phase.KEPT})
--- /dev/null
+++ b/tests/test_two_sites.py
@@ -0,0 +1,162 @@
+"""The very `run` line at two deployments made here, as real processes on loopback with stand-ins.
+
+They differ in classes, effects, groups, windows, graces, features, reports, weights and told sizes; nothing
+of either is named in the program or in the file that `run` names."""
+
+
+from __future__ import annotations
+
+import json
+import re
+import time
+import unittest
+from typing import Any
+
+from kelplab.standin import ROOT, Reply, Router, Seen, World
+
+S, MS = 10**9, 10**6
+EXAMPLE = json.loads((ROOT / "examples/config.json").read_text())["settings"]
+RUN = (ROOT / "deploy/balancer.toml").read_text()
+FILE = re.search(r"ROUTER_RULES=\S*(deploy/\S+)", RUN)
+
+
+def deployment(
+    classes: list[dict[str, Any]], through: list[bool], limits: dict[str, Any], **more: Any
+) -> dict[str, Any]:
+    each = len(classes)
+    info = {
+        **EXAMPLE["family_info"],
+        "goes_through": through,
+        "max_age_ns": [0] * each,
+        "usable_after_ns": [0] * each,
+        **more.pop("family_info", {}),
+    }
+    return {
+        **EXAMPLE,
+        "classes": classes,
+        "family_info": info,
+        "limits": {**EXAMPLE["limits"], **limits},
+        **more,
+    }
+
+
+def kind(name: str, effect: str, deadline_ms: int, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "idempotency": effect,
+        "aim_ns": deadline_ms * MS // 4,
+        "give_up_ns": deadline_ms * MS,
+        "credit": 1.0,
+        **more,
+    }
+
+
+SITES = {
+    "reads and orders": deployment(
+        [kind("leaf", "safe", 2_500, aim_stretch=2.0), kind("stamp", "unsafe", 3_000)],
+        [False, True],
+        {"most_tries": 6, "second_copies": True},
+    ),
+    "parts and keyed writes": deployment(
+        [
+            kind("reel", "safe", 5_000),
+            kind("sheet", "keyed", 3_000, group="all", dedup_window_ns=3 * S),
+            kind("vote", "keyed", 3_000, group="zone", dedup_window_ns=S),
+        ],
+        [False, True, True],
+        {"most_tries": 8, "second_copies": False, "max_retry_after_ns": 0, "retry_after": False},
+        weight_source="rough",
+        report={"how": "inline", "fields": ["utilization", "x1"]},
+        family_info={
+            "pace_kb_per_s": 4_000.0,
+            "merges_fills": False,
+            "purge_grace_ns": 500 * MS,
+            "zone_link_kb_per_s": [9_000.0, 9_000.0],
+        },
+    ),
+    "writes alone": deployment(
+        [kind("only", "unsafe", 1_000)], [True], {"most_tries": 1, "second_copies": False}
+    ),
+}
+
+
+def broken_once(word: str) -> tuple[World, list[Seen]]:
+    """Servers of which the first to get a request ends it so, and the others serve it."""
+    seen: list[Seen] = []
+
+    def script(server: str, one: Seen) -> Reply:
+        first = not any(s.id == one.id for s in seen)
+        seen.append(one)
+        return Reply(word) if first else Reply("DONE", body=b"fine")
+
+    return World(script), seen
+
+
+class Sites(unittest.TestCase):
+    def setUp(self) -> None:
+        assert FILE
+        self.file = (ROOT / FILE[1]).read_text()
+
+    def test_each_class_is_served_by_the_same_line(self) -> None:
+        for name, settings in SITES.items():
+            with (
+                self.subTest(site=name),
+                World() as world,
+                Router(world, self.file, settings=settings) as router,
+            ):
+                client = router.client()
+                for cls in settings["classes"]:
+                    more = {"nonce": "k-1"} if cls["idempotency"] == "keyed" else {}
+                    answer = client.ask(
+                        cls["name"], patience_ms=900, body=b"x", more={**more, "size": "40.5"}
+                    )
+                    self.assertEqual(answer.kind, "served", (name, cls["name"]))
+                    (pull,) = world.pulls()[-1:]
+                    self.assertEqual(pull.fields.get("nonce"), more.get("nonce"))
+                lacks = next(line for line in router.log() if line["event"] == "deployment.lacks")
+                self.assertEqual("weights" in lacks["lacks"], settings["weight_source"] == "off")
+                self.assertEqual("second copies" in lacks["lacks"], not settings["limits"]["second_copies"])
+
+    def test_what_may_have_run_is_sent_again_only_as_its_class_allows(self) -> None:
+        for word in ("reset", "BROKE"):
+            for name, settings in SITES.items():
+                world, seen = broken_once(word)
+                with (
+                    self.subTest(site=name, word=word),
+                    world,
+                    Router(world, self.file, settings=settings) as router,
+                ):
+                    client = router.client()
+                    for cls in settings["classes"]:
+                        more = {"nonce": f"key-of-{cls['name']}"} if cls["idempotency"] == "keyed" else {}
+                        answer = client.ask(cls["name"], patience_ms=900, body=b"x", more=more)
+                        mine = [s for s in seen if s.fields["cls"] == cls["name"]]
+                        if cls["idempotency"] == "unsafe":
+                            self.assertEqual((answer.kind, len(mine)), ("failed", 1), cls["name"])
+                        else:
+                            self.assertEqual((answer.kind, len(mine)), ("served", 2), cls["name"])
+                        self.assertEqual({s.fields.get("nonce") for s in mine}, {more.get("nonce")})
+
+    def test_a_keyed_retry_at_the_process_that_takes_over(self) -> None:
+        """The old process serves what it has taken; the client's retry reaches the new one under its key."""
+        settings = SITES["parts and keyed writes"]
+        world, seen = broken_once("silent")
+        with world, Router(world, self.file, settings=settings) as router:
+            client = router.client()
+            client.send("sheet", patience_ms=600, body=b"x", more={"nonce": "k"})
+            while not seen:
+                time.sleep(0.01)
+            with Router(world, self.file, settings=settings) as other:
+                router.process.terminate()
+                self.assertEqual(next(client.answers(1)).kind, "failed")
+                world.script = lambda server, one: (seen.append(one), Reply("DONE"))[1]
+                answer = other.client().ask(
+                    "sheet", patience_ms=900, body=b"x", retry=True, more={"nonce": "k"}
+                )
+                self.assertEqual(answer.kind, "served")
+                self.assertEqual(router.process.wait(20), 0)
+            self.assertEqual({s.fields["nonce"] for s in seen if s.word == "PULL"}, {"k"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -257,6 +257,7 @@
         elif isinstance(event, api.ClientGone):
             held = self.held.get(event.id)
             if held:
+                self.unload(held)
                 self.close(held)
         elif isinstance(event, api.Retuned):
             self.retune(event.settings)
@@ -372,6 +373,14 @@
         if self.held:
             self.tick_on()
 
+    def unload(self, held: Held) -> None:
+        """A client has left: what was not sent it is no load.  Bursts that are called off at once kept
+        others out for as long as offered work is remembered."""
+        undone = self.expected(held) - (self.now - held.start_ns)
+        if undone > 0 and not held.cls.uncacheable:
+            for gate in (self.gates.values() if held.fills else [self.gates[False]]):
+                gate.work.add(self.now, -min(undone, gate.work.now(self.now)))
+
     def tick_on(self) -> None:
         if not self.ticking:
             self.ticking = True
