Tell a process's state on the control address, and plan a rollout dry

Need: who compares new with old must hear from each process what it is and what became of its requests; and an operator wants to see a rollout's stages before anything is touched.

Change: `control state=#true` in the operator's file takes calls of GET /control/state: instance, digests of program, settings and operator's file, readiness, counters by class (core/ledger.py, pure, bounded), invariants, memory. Off it is an unknown path as before, and nothing is counted. `kelpcroft rollout plan FILE` checks a rollout file and prints stages, names, times, the worst share out at once, and where nothing is left to compare with.

--- a/kelpcroft/cli/__init__.py
+++ b/kelpcroft/cli/__init__.py
@@ -7,6 +7,7 @@
 from kelpcroft.cli.check import check
 from kelpcroft.cli.diff import diff
 from kelpcroft.cli.explain import explain
+from kelpcroft.cli.rollout import rollout
 from kelpcroft.cli.serve import serve
 
 
@@ -18,5 +19,5 @@
     """
 
 
-for verb in (serve, check, explain, diff):
+for verb in (serve, check, explain, diff, rollout):
     main.add_command(verb)
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -11,14 +11,16 @@
 from kelpcroft import messages as m
 from kelpcroft.config import Config
 from kelpcroft.core.attempts import IDLE_SHARE, SPENT_NS, Attempts
+from kelpcroft.core.ledger import Ledger
 from kelpcroft.core.members import Members
 from kelpcroft.core.requests import Requests
 from kelpcroft.core.service import Mode, Service
 from kelpcroft.core.state import MS, SECOND, State
 from kelpcroft.core.tuning import Tuning
 from kelpcroft.deployment.lacks import lacks
-from kelpcroft.invariants import counts, holds
+from kelpcroft.invariants import broken, counts, holds
 from kelpcroft.messages import Effect, Timer
+from kelpcroft.store.identity import of_settings
 from zincgrade import interface as api
 
 HOUSE_NS = SECOND            # between looks at idle connections
@@ -40,11 +42,13 @@
         self.service = Service(shared=config.inherited is not None)
         self.clients: set[int] = set()       # connections of clients that are open
         self.ended_ns = 0
-        self.counted_ns = 0
+        self.counted_ns = self.began_ns = 0
+        self.identity, self.rules_digest = m.Identity("", ""), ""
 
     def start(self, now: int) -> list[Effect]:
         """The first effects: what was known at the start is taken in, and the feed is asked for the rest."""
         self.state.now, self.state.effects = now, []
+        self.began_ns = now
         self.act(self.state.policy.start(now))
         self.members.on_news(self.state.config.known)
         self.tell_deployment()
@@ -109,6 +113,8 @@
             self.tuning.on_reload(message)
         elif isinstance(message, m.Rules):
             self.on_rules(message)
+        elif isinstance(message, m.Identity):
+            self.identity = message
         else:
             self.on_terminate()
         self.drive()
@@ -163,11 +169,27 @@
                   {"out_s": round((s.now - since) / SECOND, 3)})
             s.effects += [m.Release(False), m.Keep(True, s.now)]
         why = self.unready()
+        if verb is m.Verb.STATE:
+            s.effects.append(m.Reply(call.caller, True, self.whole_state(why)))
+            return
         told: dict[str, object] = {"ready": not why, "service": self.service.mode.value}
         if why:
             told["why"] = why
         s.effects.append(m.Reply(call.caller, verb is not m.Verb.READY or not why, told))
 
+    def whole_state(self, why: str) -> dict[str, object]:
+        """What this process is and what became of its requests: bounded, and of no effect on any."""
+        s = self.state
+        return {
+            "name": s.config.name, "instance": self.identity.instance, "build": self.identity.build,
+            "settings": of_settings(s.used.get("settings")), "rules": self.rules_digest,
+            "started_ms": self.began_ns // MS, "now_ms": s.now // MS,
+            "ready": not why, "why": why, "service": self.service.mode.value,
+            "since_ms": self.service.since_ns // MS,
+            "open": len(s.requests), "attempts": len(s.attempts), "connections": len(s.links.by_number),
+            "clients": len(self.clients), "invariants": sum(broken.values()),
+            "classes": s.ledger.tell() if s.ledger else {}}
+
     def on_handover(self, handed: m.Handover) -> None:
         """At the start: an operator's drain outlives the process that heard it."""
         s = self.state
@@ -194,6 +216,10 @@
             from kelpcroft.routes import Table  # nothing of it is imported before a file wants it
             settings = s.config.settings
             s.routes = Table(rules.file, settings.zone, settings.seed, s.now)
+        self.rules_digest = rules.digest
+        if rules.file.state != (s.ledger is not None):
+            s.ledger = Ledger() if rules.file.state else None
+            s.effects.append(m.Expose(rules.file.state))
         count = len(rules.file.routes)
         s.log("rules.taken", f"operator's file taken: {count} routes", "info", {"routes": count})
 
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kelpcroft import messages as m
-from kelpcroft.core.state import Request, State
+from kelpcroft.core.state import SECOND, Request, State
 from kelpcroft.invariants import holds
 from zincgrade import interface as api
 
@@ -50,7 +50,7 @@
                                 len(c.body) > 0, patience, c.waited_ns)
             if grant is not None:
                 patience = grant.wait_ns
-        request = Request(str(self.state.made), c, self.state.now + patience, grant)
+        request = Request(str(self.state.made), c, self.state.now + patience, grant, patience_ns=patience)
         self.state.requests[self.state.made] = self.state.calls.setdefault(c.client, {})[c.call] = request
         self.state.traces.add(c.trace)
         ran = None
@@ -92,6 +92,8 @@
             del self.state.calls[request.call.client]
         if request.grant is not None:
             request.grant.release()
+        if self.state.ledger is not None:
+            self.book(request, answer)
         if self.state.traced:
             self.state.trace("final", id=request.call.trace, cls=request.call.cls, tries=request.tries,
                              how=type(answer).__name__ if answer else "gone", out=request.out,
@@ -99,6 +101,17 @@
         if answer:
             self.state.effects.append(answer)
 
+    def book(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
+        """Note what became of a request.  Its time counts from the client's send."""
+        cls, c, s = self.state.classes.get(request.call.cls), request.call, self.state
+        if cls is None or s.ledger is None:
+            return
+        pace, unit = s.settings.pace_kb_per_s, s.policy.unit.get(cls.name)
+        own = c.size_kb / pace * SECOND if c.size_kb and pace else unit.mean if unit else 0.0
+        took = s.now - request.deadline_ns + request.patience_ns + c.waited_ns
+        how = {m.Serve: "served", m.Decline: "refused", m.Break: "failed"}.get(type(answer), "gone")
+        s.ledger.ended(cls.name, how, request.tries, cls.worth, took <= cls.aim_ns + cls.aim_stretch * own)
+
     def gone(self, request: Request) -> None:
         """The client has stopped waiting."""
         self.finish(request, None)
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -12,6 +12,7 @@
 from kelpcroft import messages as m
 from kelpcroft.config import Config
 from kelpcroft.core.keys import Keys
+from kelpcroft.core.ledger import Ledger
 from kelpcroft.core.links import Link, Links
 from kelpcroft.messages import Effect, Timer
 from zincgrade import interface as api
@@ -53,6 +54,7 @@
     out: int = 0                                            # attempts
     ran: bool = False                                       # the last end may have run
     waits: bool = False                                     # for its next attempt, which is paid for
+    patience_ns: int = 0                                    # of what was left of it when it was taken
 
 
 @dataclass(slots=True)
@@ -86,6 +88,7 @@
         self.probes: dict[int, Probe] = {}
         self.routes: Table | None = None                     # of the operator's file
         self.made = 0                                        # numbers given to requests, attempts and probes
+        self.ledger: Ledger | None = None                    # where the operator's file asks for the state
         self.tally: Counter[str] = Counter()
         self.effects: list[Effect] = []
         self.events: deque[api.Event] = deque()              # for the module, of this input
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -169,6 +169,7 @@
     """A call on the control address."""
 
     READY = "ready"          # does this process take clients?
+    STATE = "state"          # what is it, and what became of its requests?
     OUT = "out-of-service"   # send clients away
     IN = "in-service"        # take them again
 
@@ -183,6 +184,14 @@
     why: str = ""
 
 
+@message
+class Identity:
+    """What this process is: the digest of its program, and a name that no other process has."""
+
+    build: str
+    instance: str
+
+
 @message
 class Control:
     """A call on the control address, from the caller with this number."""
@@ -238,10 +247,11 @@
     file: File | None
     why: str = ""
     faults: int = 0
+    digest: str = ""         # of its bytes
 
 
 Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost,
-              Listening, Due, Terminate, Reload, Rules, Control, Handover]
+              Listening, Due, Terminate, Reload, Rules, Control, Handover, Identity]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -398,6 +408,13 @@
     since_ns: int
 
 
+@message
+class Expose:
+    """Take calls for the state on the control address from now on, or not; the first time, tell Identity."""
+
+    on: bool
+
+
 @message
 class Release:
     """Let clients go once nothing is owed them and nothing of theirs is half read (a drain), or keep them."""
@@ -411,4 +428,4 @@
 
 
 Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Move, Wake,
-               Log, StopAccepting, Reply, Keep, Release, Exit]
+               Log, StopAccepting, Reply, Keep, Expose, Release, Exit]
--- a/kelpcroft/net/control.py
+++ b/kelpcroft/net/control.py
@@ -25,6 +25,7 @@
 READ_SIZE = 4_096            # the one buffer of each connection
 CALLS: dict[bytes, tuple[bytes, Verb]] = {
     b"/control/ready": (b"GET", Verb.READY),
+    b"/control/state": (b"GET", Verb.STATE),
     b"/control/out-of-service": (b"PUT", Verb.OUT),
     b"/control/in-service": (b"PUT", Verb.IN),
 }
@@ -33,7 +34,8 @@
 class ControlCodec:
     """One caller's connection: ``feed`` until it returns a verb or an answer; nothing more is read then."""
 
-    def __init__(self) -> None:
+    def __init__(self, state: bool = False) -> None:
+        self.state = state                   # the operator's file asks for /control/state
         self.parser = httptools.HttpRequestParser(self)
         self.head = self.body = 0            # bytes of each so far
         self.url = b""
@@ -105,10 +107,11 @@
         except httptools.HttpParserInvalidURLError:
             return answer(HTTPStatus.BAD_REQUEST, {"error": "the target is not a path"})
         method = self.parser.get_method()
-        known = CALLS.get(path.rstrip(b"/") if len(path) > 1 else path)
+        calls = {p: call for p, call in CALLS.items() if self.state or call[1] is not Verb.STATE}
+        known = calls.get(path.rstrip(b"/") if len(path) > 1 else path)
         if known is None:
             return answer(HTTPStatus.NOT_FOUND, {"error": "no such call", "calls": [
-                f"{m.decode()} {p.decode()}" for p, (m, _) in CALLS.items()]})
+                f"{m.decode()} {p.decode()}" for p, (m, _) in calls.items()]})
         wanted, verb = known
         if method != wanted and not (method == b"HEAD" and wanted == b"GET"):
             why = {"error": f"{path.decode()} takes {wanted.decode()}"}
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -5,11 +5,13 @@
 import errno
 import heapq
 import os
+import resource
 import selectors
 import signal
 import socket
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
@@ -99,9 +101,9 @@
 class Caller(Peer):
     """A connection to the control address: one call, one answer, then the end."""
 
-    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
+    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int, state: bool) -> None:
         super().__init__(sock, pool, now)
-        self.number, self.codec, self.up = number, control.ControlCodec(), True
+        self.number, self.codec, self.up = number, control.ControlCodec(state), True
         self.opened_ns = now
         self.answered = False    # the answer is written, or waits to be; what comes after is not read
 
@@ -150,6 +152,7 @@
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
         self.waited_ns = 0       # the longest that what is being read from a client may have waited
+        self.exposed = self.identified = False  # calls for the state are taken; what it is has been told
         self.signals: int | None = None      # the reading end of the pipe that signals write to
 
     # Start and end ----------------------------------------------------------------------------------------
@@ -357,9 +360,14 @@
             elif isinstance(e, m.Reply):
                 caller = self.callers.get(e.caller)
                 if caller:
-                    self.reply(caller, control.reply(e.ok, e.fields, caller.codec.head_only))
+                    fields = e.fields
+                    if "instance" in fields:
+                        fields = {**fields, "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
+                    self.reply(caller, control.reply(e.ok, fields, caller.codec.head_only))
             elif isinstance(e, m.Keep):
                 self.keep(e)
+            elif isinstance(e, m.Expose):
+                self.expose(e.on)
             elif isinstance(e, m.Release):
                 self.releasing = e.on
                 for client in list(self.clients.values()):
@@ -564,9 +572,20 @@
                 self.close(min(self.callers.values(), key=lambda c: c.opened_ns))
             sock.setblocking(False)
             self.made += 1
-            caller = self.callers[self.made] = Caller(self.made, sock, self.pool, self.clock.now())
+            caller = Caller(self.made, sock, self.pool, self.clock.now(), self.exposed)
+            self.callers[self.made] = caller
             self.watch(caller, selectors.EVENT_READ)
 
+    def expose(self, on: bool) -> None:
+        """Calls for the state.  What this program is, is read once, when first asked for: nothing is read and
+        nothing imported where no file switches it on."""
+        self.exposed = on
+        if on and not self.identified:
+            from kelpcroft.store.identity import of_program
+            self.identified = True
+            instance = f"{os.getpid()}-{self.clock.now():x}"
+            self.tell(m.Identity(of_program(Path(__file__).parent.parent), instance))
+
     def hear(self, caller: Caller) -> None:
         """What a caller sent: a whole call goes to the reducer; what is no call is answered here."""
         try:
--- a/kelpcroft/operator/check.py
+++ b/kelpcroft/operator/check.py
@@ -19,6 +19,7 @@
 from kelpcroft.operator.reader import Reader
 from kelpcroft.operator.text import BYTES_MOST, tree
 from kelpcroft.routes.index import CELLS_MOST, too_complex
+from kelpcroft.store.identity import digest
 from zincgrade import interface as api
 
 MS = 1_000_000
@@ -82,7 +83,9 @@
     file, faults = yield from loading(data)
     if not faults:
         faults = yield from checking(file, settings)
-    return Rules(None, faults[0].text(str(path)), len(faults)) if faults else Rules(file)
+    if faults:
+        return Rules(None, faults[0].text(str(path)), len(faults))
+    return Rules(file, digest=digest(data) if file.state else "")
 
 
 def alone(file: File, faults: Faults) -> Steps[None]:
--- a/kelpcroft/operator/model.py
+++ b/kelpcroft/operator/model.py
@@ -154,3 +154,4 @@
     routes: tuple[Route, ...] = ()
     budgets: tuple[Budget, ...] = ()
     defaults: Bounds = Bounds()
+    state: bool = False      # the control address tells what this process is and did
--- a/kelpcroft/operator/reader.py
+++ b/kelpcroft/operator/reader.py
@@ -32,7 +32,7 @@
 OPEN_MOST = 1_000_000
 BURST = 10.0                 # of a budget that does not say
 HEX = re.compile(r"[0-9a-f]{1,16}")
-TOP = ("kelpcroft", "defaults", "budget", "route")
+TOP = ("kelpcroft", "control", "defaults", "budget", "route")
 NOT_RUN = {"miss", "full", "refused", "moot", "connect"}  # outcomes that belong to moves
 PARTS_OF_BOUNDS = ("timeout", "attempt", "attempts", "moves", "backoff", "copies", "limit", "pause")
 
@@ -105,7 +105,7 @@
 
     def file(self, items: Iterable[Item]) -> Generator[None, None, File]:
         """A whole file, a step for each node at its top."""
-        defaults, budgets, found = Bounds(), [], []
+        defaults, budgets, found, state = Bounds(), [], [], False
         first = True
         names: dict[tuple[str, str], int] = {}
         seen: dict[str, int] = {}
@@ -119,7 +119,7 @@
                 self.faults.add(item.place, "unknown-node",
                                 f"a file holds no {shown(item.name)}{instead(item.name, TOP)}")
                 continue
-            if item.name in ("kelpcroft", "defaults"):
+            if item.name in ("kelpcroft", "control", "defaults"):
                 if item.name in seen:
                     self.faults.add(item.place, "duplicate-node",
                                     f"{item.name!r} stands at line {self.line(seen[item.name])} already")
@@ -127,6 +127,9 @@
                 seen[item.name] = item.place
             if item.name == "kelpcroft":
                 self.version(item)
+            elif item.name == "control":
+                self.form(item, 0, ("state",))
+                state = bool(self.prop(item, "state", values.flag, "what it tells, as in state=#true"))
             elif item.name == "defaults":
                 self.form(item, 0, (), PARTS_OF_BOUNDS)
                 defaults = self.bounds(item)
@@ -141,7 +144,7 @@
                 else:
                     found.append(self.route(item, name))
         routes = tuple(Route(r.name, r.match, r.bounds.over(defaults), r.place, r.match_place) for r in found)
-        file = File(routes, tuple(budgets), defaults)
+        file = File(routes, tuple(budgets), defaults, state)
         self.names_agree(file)
         return file
 
--- a/kelpcroft/operator/service.py
+++ b/kelpcroft/operator/service.py
@@ -8,6 +8,7 @@
 from kelpcroft.config import ConfigError
 from kelpcroft.messages import Rules
 from kelpcroft.operator.check import check, load, read, reading
+from kelpcroft.store.identity import digest
 from zincgrade import interface as api
 
 
@@ -15,13 +16,14 @@
     """A file at the start.  Raises ConfigError with a line for each fault: nobody wants a router that starts
     without the bounds it was given."""
     try:
-        file, faults = load(read(Path(path)))
+        data = read(Path(path))
+        file, faults = load(data)
     except OSError as error:
         raise ConfigError(f"ROUTER_RULES: {path}: {error.strerror}") from error
     faults = faults or check(file, settings)
     if faults:
         raise ConfigError("\n".join(fault.text(path) for fault in faults))
-    return Rules(file)
+    return Rules(file, digest=digest(data) if file.state else "")
 
 
 def steps(path: str, settings: api.Settings) -> Iterator[Rules | None]:
--- a/kelpcroft/rollout/plan.py
+++ b/kelpcroft/rollout/plan.py
@@ -179,6 +179,15 @@
                 self.faults.add(0, f"no-{what}", f'there is no {what}; add one, as {what} "one"')
         return Plan(routers=tuple(routers[:ROUTERS_MOST]), stages=tuple(stages[:STAGES_MOST]), **said)  # type: ignore[arg-type]
 
+    def version(self, item: Item) -> None:
+        self.form(item, 0, ("version",))
+        found = item.props.get("version")
+        if found is None:
+            self.faults.add(item.place, "no-version", f"which version? write rollout version={VERSION}")
+        elif found.value != VERSION or isinstance(found.value, bool):
+            self.faults.add(found.place, "unknown-version",
+                            f"version {shown(found.value)} is not known here; version {VERSION} is")
+
     def read_change(self, item: Item) -> dict[str, object]:
         self.form(item, 0, (), WHATS)
         found = []
--- /dev/null
+++ b/kelpcroft/store/identity.py
@@ -0,0 +1,43 @@
+"""What a process is: digests of its program, settings and operator's file.  Bytes in, names out; the reading
+of the program's own files is at the end, for the edge."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+SUFFIXES = (".py", ".so")
+FILES_MOST = 2_000           # of a program; more are a wrong folder
+
+
+def digest(data: bytes) -> str:
+    """16 hex digits."""
+    return blake2b(data, digest_size=8).hexdigest()
+
+
+def of_settings(settings: Any) -> str:
+    """Of settings, whatever the order of their keys."""
+    return digest(orjson.dumps(settings, option=orjson.OPT_SORT_KEYS))
+
+
+def of_files(files: Iterable[tuple[str, bytes]]) -> str:
+    """Of a program's files, by their names, in any order."""
+    whole = blake2b(digest_size=8)
+    for name, data in sorted(files):
+        whole.update(len(name).to_bytes(4, "big") + name.encode() + len(data).to_bytes(8, "big") + data)
+    return whole.hexdigest()
+
+
+def of_program(package: Path) -> str:
+    """Of the packages as they stand beside each other: both, compiled or not.  Empty where they cannot be
+    read."""
+    try:
+        found = [p for name in ("kelpcroft", "zincgrade") for p in (package.parent / name).rglob("*")
+                 if p.suffix in SUFFIXES]
+        return of_files((str(p.relative_to(package.parent)), p.read_bytes()) for p in found[:FILES_MOST])
+    except OSError:
+        return ""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import json
+import tempfile
 import unittest
+from pathlib import Path
 
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kelpcroft.cli import main
 from kelpcroft.rollout.judge import Bet, Judge, Rates, Sample, Verdict
 from kelpcroft.rollout.plan import load
 from kelpcroft.rollout.stages import Act, Order, Outcome, Phase, Report, Rollout
 from kelplab.rollouts import Process, S, World, plan_of
+from kelplab.standin import ROOT
 
 HEAD = "rollout version=1\n"
 GOOD = (
@@ -290,3 +296,25 @@
                 self.assertIs(world.rollout.outcome, before)
             if world.rollout.outcome is Outcome.DONE:
                 self.assertEqual(set(phases), {Phase.KEPT})
+
+
+class Command(unittest.TestCase):
+    def test_plan_is_a_dry_run_that_names_everything(self) -> None:
+        path = str(ROOT / "examples/rollout.kdl")
+        told = CliRunner().invoke(main, ["rollout", "plan", path])
+        self.assertEqual(told.exit_code, 0, told.output)
+        self.assertIn("stage 'one': n4; 120s to 1200s", told.output)
+        self.assertIn("no old router left to compare with in edge-1, edge-2", told.output)
+        said = json.loads(CliRunner().invoke(main, ["rollout", "plan", path, "--format", "json"]).output)
+        self.assertEqual([s["routers"] for s in said["stages"]], [["n4"], ["n1", "n5"], ["n2", "n6", "n3"]])
+        self.assertEqual(said["worst_share_out"], {"edge-1": 0.333, "edge-2": 0.333})
+        self.assertLess(said["shortest_s"], said["longest_s"])
+
+    def test_faults_and_wrong_use(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "bad.kdl"
+            path.write_text(GOOD.replace("per-zone=1", "per-zone=2"))
+            told = CliRunner().invoke(main, ["rollout", "plan", str(path)])
+            self.assertEqual(told.exit_code, 1)
+            self.assertIn("zone-out", told.output)
+        self.assertEqual(CliRunner().invoke(main, ["rollout", "plan", "/nowhere"]).exit_code, 2)
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,124 @@
+"""`GET /control/state`: what a process is and what became of its requests, where the file asks for it."""
+
+from __future__ import annotations
+
+import json
+import unittest
+import urllib.error
+import urllib.request
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpcroft.core.ledger import CLASSES_MOST, OTHERS, Ledger
+from kelpcroft.store.identity import of_files, of_settings
+from kelplab.standin import Reply, Router, Seen, World
+
+ON = 'kelpcroft version=1\ncontrol state=#true\nroute "rest" { match; }\n'
+OFF = 'kelpcroft version=1\nroute "rest" { match; }\n'
+
+
+def state(router: Router) -> tuple[int, dict[str, Any]]:
+    url = f"http://{router.mgmt[0]}:{router.mgmt[1]}/control/state"
+    try:
+        with urllib.request.urlopen(url, timeout=20) as answer:
+            return answer.status, json.loads(answer.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read())
+
+
+def mixed(server: str, seen: Seen) -> Reply:
+    """By object: served, served late, an error, or nothing."""
+    item = seen.fields["item"][-1]
+    return {"a": Reply(body=b"x"), "b": Reply(body=b"x", after_ms=1_100), "c": Reply("BROKE")}.get(
+        item, Reply("silent")
+    )
+
+
+class OnSockets(unittest.TestCase):
+    def test_it_tells_what_became_of_each_class(self) -> None:
+        with World(mixed) as world, Router(world, ON, mgmt=True) as router:
+            client = router.client()
+            for item, patience in (("a", 2_000), ("a", 2_000), ("b", 2_400), ("d", 300)):
+                client.ask("page", object="0" * 15 + item, patience_ms=patience)
+            client.ask("order", object="0" * 15 + "c", body=b"x")
+            code, told = state(router)
+            self.assertEqual(code, 200)
+            page, order = told["classes"]["page"], told["classes"]["order"]
+            self.assertEqual((page["asked"], page["served"], page["worth"]), (4, 3, 4.0))
+            self.assertEqual(page["in_time"] + page["late"], 3.0)
+            self.assertEqual((order["failed"], order["in_time"]), (1, 0.0))
+            who = [told[k] for k in ("name", "ready", "service", "invariants")]
+            self.assertEqual(who, ["n1", True, "in", 0])
+            self.assertTrue(told["build"] and told["settings"] and told["rules"] and told["instance"])
+            self.assertGreater(told["memory_kb"], 5_000)
+            again = state(router)[1]
+            self.assertEqual(
+                [again[k] for k in ("instance", "build", "settings", "rules")],
+                [told[k] for k in ("instance", "build", "settings", "rules")],
+            )
+
+    def test_two_processes_of_one_build_differ_in_their_instance_alone(self) -> None:
+        with World() as world, Router(world, ON, mgmt=True) as one, Router(world, ON, mgmt=True) as two:
+            one.client(), two.client()
+            a, b = state(one)[1], state(two)[1]
+            self.assertEqual(
+                [a[k] for k in ("build", "settings", "rules")], [b[k] for k in ("build", "settings", "rules")]
+            )
+            self.assertNotEqual(a["instance"], b["instance"])
+
+    def test_off_the_path_is_unknown_and_a_file_read_again_switches_it(self) -> None:
+        with World() as world, Router(world, OFF, mgmt=True) as router:
+            router.client()
+            self.assertEqual(state(router)[0], 404)
+            self.assertNotIn("GET /control/state", state(router)[1]["calls"])
+            self.assertEqual(router.reload(ON)["event"], "rules.taken")
+            code, told = state(router)
+            self.assertEqual((code, told["classes"]), (200, {}))
+            first = told["rules"]
+            router.reload(ON + "// another\n")
+            self.assertNotEqual(state(router)[1]["rules"], first)
+            router.reload(OFF)
+            self.assertEqual(state(router)[0], 404)
+
+    def test_a_crowd_of_callers_takes_nothing_from_requests(self) -> None:
+        with World() as world, Router(world, ON, mgmt=True) as router:
+            client = router.client()
+            for _ in range(100):
+                state(router)
+                self.assertEqual(client.ask("page").kind, "served")
+
+
+class Pure(unittest.TestCase):
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 99),
+                st.sampled_from(["served", "refused", "failed", "gone"]),
+                st.integers(0, 8),
+                st.booleans(),
+            ),
+            max_size=300,
+        )
+    )
+    def test_counts_add_up_and_have_an_end(self, ends: list[tuple[int, str, int, bool]]) -> None:
+        ledger = Ledger()
+        for cls, how, attempts, in_time in ends:
+            ledger.ended(str(cls), how, attempts, 2.0, in_time)
+        told = ledger.tell()
+        self.assertLessEqual(len(told), CLASSES_MOST + 1)
+        self.assertEqual(sum(c["asked"] for c in told.values()), len(ends))
+        for c in told.values():
+            self.assertEqual(c["asked"], c["served"] + c["refused"] + c["failed"] + c["gone"])
+            self.assertLessEqual(c["in_time"], c["worth"])
+        if len({cls for cls, *_ in ends}) > CLASSES_MOST:
+            self.assertIn(OTHERS, told)
+
+    def test_digests_tell_what_differs_and_not_in_what_order(self) -> None:
+        self.assertEqual(of_settings({"a": 1, "b": 2}), of_settings({"b": 2, "a": 1}))
+        self.assertNotEqual(of_settings({"a": 1}), of_settings({"a": 2}))
+        files = [("x.py", b"1"), ("y.py", b"2")]
+        self.assertEqual(of_files(files), of_files(files[::-1]))
+        self.assertNotEqual(of_files(files), of_files([("x.py", b"12"), ("y.py", b"")]))
