--- a/kelpcroft/cli/rollout.py
+++ b/kelpcroft/cli/rollout.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import sqlite3
+import time
 from pathlib import Path
+from typing import Any
 
 import click
+import orjson
 
-from kelpcroft.cli.common import Unfit, as_json, format_option, no
+from kelpcroft.cli.common import F, Unfit, as_json, format_option, no
+from kelpcroft.cli.controller import Controller, begin
 from kelpcroft.operator.check import read
 from kelpcroft.operator.check import span as words
 from kelpcroft.rollout.plan import Plan, load
+from kelpcroft.rollout.snapshot import SnapshotError
+from kelpcroft.rollout.stages import Note, Outcome
+from kelpcroft.store.rollouts import LeaseLost, Run, Store
 
 
 @click.group()
@@ -26,9 +34,16 @@
     if not faults:
         return plan
     if form == "json":
-        as_json({"file": path, "good": False, "faults": [
-            {"line": f.place.line, "column": f.place.column, "code": f.code, "reason": f.reason}
-            for f in faults]})
+        as_json(
+            {
+                "file": path,
+                "good": False,
+                "faults": [
+                    {"line": f.place.line, "column": f.place.column, "code": f.code, "reason": f.reason}
+                    for f in faults
+                ],
+            }
+        )
     else:
         for fault in faults:
             click.echo(fault.text(path))
@@ -61,24 +76,237 @@
     for stage, routers in zip(found.stages, stages, strict=True):
         changed |= {r.name for r in routers}
         left = {r.zone for r in found.routers if r.name not in changed}
-        rows.append({
-            "stage": stage.name, "routers": [r.name for r in routers],
-            "least_s": stage.least_ns / 10**9, "most_s": stage.most_ns / 10**9,
-            "nothing_to_compare_in": sorted({r.zone for r in routers} - left)})
-    shortest = sum(s.least_ns for s in found.stages) + found.slowest_ns + sum(
-        -(-len(r) // found.at_once) for r in stages) * found.cold_ns
+        rows.append(
+            {
+                "stage": stage.name,
+                "routers": [r.name for r in routers],
+                "least_s": stage.least_ns / 10**9,
+                "most_s": stage.most_ns / 10**9,
+                "nothing_to_compare_in": sorted({r.zone for r in routers} - left),
+            }
+        )
+    shortest = (
+        sum(s.least_ns for s in found.stages)
+        + found.slowest_ns
+        + sum(-(-len(r) // found.at_once) for r in stages) * found.cold_ns
+    )
     if form == "json":
-        as_json({"file": file, "good": True, "change": dict(found.change), "stages": rows,
-                 "shortest_s": shortest / 10**9, "longest_s": found.longest_ns() / 10**9,
-                 "worst_share_out": worst_out(found), "then": "take-back" if found.take_back else "hold"})
+        as_json(
+            {
+                "file": file,
+                "good": True,
+                "change": dict(found.change),
+                "stages": rows,
+                "shortest_s": shortest / 10**9,
+                "longest_s": found.longest_ns() / 10**9,
+                "worst_share_out": worst_out(found),
+                "then": "take-back" if found.take_back else "hold",
+            }
+        )
         return
     click.echo("changes " + ", ".join(f"{what} to {digest}" for what, digest in found.change))
     for row, stage in zip(rows, found.stages, strict=True):
         names = ", ".join(row["routers"])  # type: ignore[arg-type]
         alone = ", ".join(row["nothing_to_compare_in"])  # type: ignore[arg-type]
-        click.echo(f"stage {stage.name!r}: {names}; {words(stage.least_ns)} to {words(stage.most_ns)}"
-                   + (f"; no old router left to compare with in {alone}" if alone else ""))
+        click.echo(
+            f"stage {stage.name!r}: {names}; {words(stage.least_ns)} to {words(stage.most_ns)}"
+            + (f"; no old router left to compare with in {alone}" if alone else "")
+        )
     click.echo(f"shortest {words(shortest)}, longest {words(found.longest_ns())}")
-    click.echo("out at once at the worst: " + ", ".join(
-        f"{share * 100:g}% of {zone}" for zone, share in worst_out(found).items()))
+    click.echo(
+        "out at once at the worst: "
+        + ", ".join(f"{share * 100:g}% of {zone}" for zone, share in worst_out(found).items())
+    )
     click.echo("harm is " + ("taken back" if found.take_back else "held for people to decide"))
+
+
+def store_option(command: F) -> F:
+    """``--store FILE``."""
+    return click.option(
+        "--store",
+        "path",
+        default="rollout.db",
+        show_default=True,
+        metavar="FILE",
+        help="The file that holds runs and their history.",
+    )(command)
+
+
+def opened(path: str, must: bool = True) -> Store:
+    """The store; used wrongly where there is none and one is wanted."""
+    if must and not Path(path).exists():
+        raise Unfit(f"{path}: there is no such store; a rollout that was started makes one")
+    try:
+        return Store(path)
+    except sqlite3.Error as error:
+        raise Unfit(f"{path}: {error}") from error
+
+
+def current(store: Store, path: str) -> Run:
+    run = store.last()
+    if run is None:
+        raise Unfit(f"{path}: holds no run")
+    return run
+
+
+@rollout.command(epilog="Example:  kelpcroft rollout start examples/rollout.kdl --store /tmp/rollout.db")
+@click.argument("file")
+@store_option
+@format_option
+def start(file: str, path: str, form: str) -> None:
+    """Lead the rollout of FILE until it is over or stopped, printing each decision.
+
+    A run of the same FILE that is not over is gone on with: a controller that died is started again just so.
+    Exit code 0 for done, 1 for taken back or stopped, 2 where it cannot be led.
+    """
+    found = planned(file, form)
+    missing = [r.name for r in found.routers if not r.control]
+    if missing or not found.apply:
+        raise Unfit(
+            f"{file}: "
+            + (
+                f"router {missing[0]!r} has no control address"
+                if missing
+                else "it has no 'act': nothing says how a router is changed"
+            )
+        )
+    store = opened(path, must=False)
+
+    def tell(note: Note) -> None:
+        if form == "json":
+            click.echo(orjson.dumps({"name": note.name, "text": note.text, "figures": dict(note.figures)}))
+        else:
+            click.echo(f"{note.name}: {note.text}")
+
+    try:
+        run = begin(store, read(Path(file)), found)
+        outcome = Controller(store, run, found, tell).lead()
+    except (LeaseLost, SnapshotError) as error:
+        raise Unfit(str(error)) from error
+    except KeyboardInterrupt:
+        raise Unfit("left as it stands; start it again to go on") from None
+    if outcome is not Outcome.DONE:
+        no()
+
+
+def shown(run: Run) -> dict[str, Any]:
+    """A run as people and scripts see it."""
+    s = run.snapshot
+    return {
+        "run": run.id,
+        "outcome": run.outcome,
+        "why": s["why"],
+        "stage": s["stage"] + 1,
+        "led": run.lease_ns > time.time_ns(),
+        "began_ns": run.began_ns,
+        "routers": {name: x["phase"] for name, x in s["routers"].items()},
+        "evidence": [
+            {
+                "zone": zone,
+                "class": cls,
+                "slices": slices,
+                "mean": total / slices if slices else 0.0,
+                "verdict": verdict,
+            }
+            for zone, cls, _, _, slices, total, verdict in s["bets"]
+        ],
+    }
+
+
+def print_status(run: Run, form: str) -> None:
+    told = shown(run)
+    if form == "json":
+        as_json(told)
+        return
+    click.echo(
+        f"run {told['run']}: {told['outcome']}{': ' + told['why'] if told['why'] else ''}, stage "
+        f"{told['stage']}, {'led' if told['led'] else 'nobody leads it'}"
+    )
+    phases: dict[str, list[str]] = {}
+    for name, phase in told["routers"].items():
+        phases.setdefault(phase, []).append(name)
+    for phase, names in phases.items():
+        click.echo(f"  {phase}: {', '.join(names)}")
+    for row in told["evidence"]:
+        click.echo(
+            f"  {row['zone']}, {row['class']}: {row['verdict']} after {row['slices']} slices, "
+            f"{row['mean']:+.3f} more harm than the old"
+        )
+
+
+@rollout.command(epilog="Example:  kelpcroft rollout status --store /tmp/rollout.db")
+@store_option
+@format_option
+def status(path: str, form: str) -> None:
+    """Print where the newest run stands.  Exit code 1 where it is held or taken back."""
+    run = current(opened(path), path)
+    print_status(run, form)
+    if run.outcome in ("held", "reverting", "taken back"):
+        no()
+
+
+@rollout.command(epilog="Example:  kelpcroft rollout watch --store /tmp/rollout.db")
+@store_option
+@format_option
+def watch(path: str, form: str) -> None:
+    """Print the newest run's decisions as they are made, until it is over."""
+    store, seen = opened(path), 0
+    while True:
+        run = current(store, path)
+        found = store.history(run.id)
+        for row in found[seen:]:
+            click.echo(orjson.dumps(row) if form == "json" else f"{row['name']}: {row['text']}")
+        seen = len(found)
+        if run.outcome in ("done", "taken back"):
+            return
+        time.sleep(0.5)
+
+
+@rollout.command(epilog="Example:  kelpcroft rollout history --store /tmp/rollout.db")
+@store_option
+@format_option
+def history(path: str, form: str) -> None:
+    """Print every decision of the newest run, with the figures that it was made on."""
+    store = opened(path)
+    found = store.history(current(store, path).id)
+    if form == "json":
+        as_json(found)
+        return
+    for row in found:
+        at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(row["at_ns"] / 1e9))
+        click.echo(
+            f"{at} {row['name']}: {row['text']}"
+            + (f"  {orjson.dumps(row['figures']).decode()}" if row["figures"] else "")
+        )
+
+
+def word(verb: str, text: str) -> click.Command:
+    """A verb that only leaves a word for the controller."""
+
+    @click.command(verb, help=text, epilog=f"Example:  kelpcroft rollout {verb} --store /tmp/rollout.db")
+    @store_option
+    @format_option
+    def command(path: str, form: str) -> None:
+        store = opened(path)
+        run = current(store, path)
+        if run.outcome in ("done", "taken back"):
+            raise Unfit(f"run {run.id} is over: {run.outcome}")
+        store.say(run.id, time.time_ns(), verb)
+        led = run.lease_ns > time.time_ns()
+        if form == "json":
+            as_json({"run": run.id, "said": verb, "led": led})
+        else:
+            click.echo(
+                f"said to run {run.id}" + ("" if led else "; nobody leads it: start it to have it heard")
+            )
+
+    return command
+
+
+for verb, text in (
+    ("hold", "Begin nothing new; what is under way at a router is finished."),
+    ("resume", "Go on with a held run."),
+    ("revert", "Take back all that was changed."),
+    ("stop", "Have the controller leave the run as it stands."),
+):
+    rollout.add_command(word(verb, text))
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -29,6 +29,8 @@
         if (c.fault or cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces
                 or cls.effect is api.Effect.KEYED and not c.nonce):
             self.state.tally["not usable"] += 1
+            if self.state.ledger is not None and cls is not None:
+                self.state.ledger.ended(cls.name, "failed", 0, cls.worth, False)
             self.state.effects.append(m.Break(c.client, c.call))
             return
         keyed = cls.effect is api.Effect.KEYED
@@ -72,6 +74,8 @@
         key may have run and a repeat elsewhere would run it again (rule 2: whoever words a refusal)."""
         self.state.tally[why] += 1
         cls, keys = self.state.classes.get(c.cls), self.state.keys
+        if self.state.ledger is not None and cls is not None:
+            self.state.ledger.ended(cls.name, "refused", 0, cls.worth, False)
         ran = c.nonce and ((c.cls, c.nonce) in keys.open or keys.find(self.state.now, c.cls, c.nonce))
         harmful = ran and cls is not None and cls.effect is api.Effect.KEYED and cls.group != "all"
         answer = m.Break(c.client, c.call) if harmful else m.Decline(c.client, c.call, 0)
--- a/kelpcroft/rollout/plan.py
+++ b/kelpcroft/rollout/plan.py
@@ -19,6 +19,10 @@
     watch every="1s" slowest="30s" ready="20s" cold="20s" unknown=1
     stop harm=0.05 tolerance=0 false-stop=0.01 missed-harm=0.05
     then "take-back"                              // or "hold"
+    act timeout="60s" repeat=#true {              // the operators' own tool; no shell; each word one argument
+        apply "deploy" "{router}" "new"
+        undo "deploy" "{router}" "old"
+    }
 
 Read like the operator's file: KDL, every fault with its place and a stable code, all of them at once.
 """
@@ -40,7 +44,9 @@
 SECOND = 10**9
 ROUTERS_MOST, STAGES_MOST = 10_000, 64
 WHATS = ("program", "settings", "rules")
-TOP = ("rollout", "change", "router", "stage", "limits", "order", "watch", "stop", "then")
+TOP = ("rollout", "change", "router", "stage", "limits", "order", "watch", "stop", "then", "act")
+HOLDERS = ("router", "zone", "control")
+WORDS_MOST, WORD_MOST = 64, 4_096
 THEN = ("take-back", "hold")
 
 
@@ -87,6 +93,10 @@
     unknown_most: int = 1  # with more routers that do not answer, nothing new is begun
     rates: Rates = Rates()
     take_back: bool = True
+    apply: tuple[str, ...] = ()  # the command that changes a router; {router} stands for its name
+    undo: tuple[str, ...] = ()
+    act_ns: int = 60 * SECOND  # it must have ended by then
+    repeat: bool = False  # to run it twice does no harm
 
     def by_stage(self) -> list[list[Target]]:
         """Who is changed in which stage: zones in their order, one router of each in turn, so that every
@@ -185,8 +195,11 @@
         if found is None:
             self.faults.add(item.place, "no-version", f"which version? write rollout version={VERSION}")
         elif found.value != VERSION or isinstance(found.value, bool):
-            self.faults.add(found.place, "unknown-version",
-                            f"version {shown(found.value)} is not known here; version {VERSION} is")
+            self.faults.add(
+                found.place,
+                "unknown-version",
+                f"version {shown(found.value)} is not known here; version {VERSION} is",
+            )
 
     def read_change(self, item: Item) -> dict[str, object]:
         self.form(item, 0, (), WHATS)
@@ -257,6 +270,22 @@
             self.faults.add(item.place, "bad-rate", str(error))
             return {}
 
+    def read_act(self, item: Item) -> dict[str, object]:
+        self.form(item, 0, ("timeout", "repeat"), ("apply", "undo"))
+        found: dict[str, object] = {}
+        for child in item.children:
+            if child.name in ("apply", "undo"):
+                self.form(child, WORDS_MOST, ())
+                words = [self.value(child, place, raw, argument) for raw, place in child.args]
+                found[child.name] = tuple(word or "" for word in words)
+        for name in ("apply", "undo"):
+            if not found.get(name):
+                self.faults.add(
+                    item.place, "missing-value", f'\'act\' wants {name}, as in {name} "deploy" "{{router}}"'
+                )
+        limit, repeat = self.prop(item, "timeout", values.duration), self.prop(item, "repeat", values.flag)
+        return found | ({"act_ns": limit} if limit else {}) | {"repeat": bool(repeat)}
+
     def read_then(self, item: Item) -> dict[str, object]:
         self.form(item, 1, ())
         word = self.argument(item, lambda v: values.text_of(v, "a name"), "take-back or hold")
@@ -276,6 +305,20 @@
     return text
 
 
+def argument(raw: Value) -> str:
+    """One word of a command.  What stands in braces is one of HOLDERS; {{ and }} are braces."""
+    text = values.text_of(raw, "a name")
+    if not text or len(text) > WORD_MOST or "\0" in text:
+        raise Unusable("bad-word", f"{shown(raw)} is no argument of a command")
+    try:
+        text.format(**dict.fromkeys(HOLDERS, ""))
+    except (KeyError, IndexError, ValueError) as error:
+        raise Unusable(
+            "bad-word", f"{shown(raw)}: {error} is none of {', '.join('{' + h + '}' for h in HOLDERS)}"
+        ) from error
+    return text
+
+
 def reachable(raw: Value) -> str:
     text = values.text_of(raw, "a name")
     if address(text):
--- /dev/null
+++ b/kelpcroft/rollout/snapshot.py
@@ -0,0 +1,113 @@
+"""A rollout as JSON and back, so that another process can go on with it.  Pure.
+
+What is kept: each router's phase, since when, what it was at first, its last report and its figures from
+before; the stage; the bets of the judgement.  What is not: fresh figures of the slice under way, which are
+lost with the process; that is evidence less, never more.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from kelpcroft.rollout.judge import Bet, Judge, Sample, Verdict
+from kelpcroft.rollout.plan import Plan
+from kelpcroft.rollout.stages import Outcome, Phase, Report, Rollout, Router
+
+VERSION = 1
+
+
+class SnapshotError(ValueError):
+    """A snapshot that cannot be used; the message says why."""
+
+
+def samples(found: dict[str, Sample]) -> dict[str, list[float]]:
+    return {cls: [s.asked, s.worth, s.in_time] for cls, s in found.items()}
+
+
+def of_samples(raw: dict[str, list[float]]) -> dict[str, Sample]:
+    return {cls: Sample(int(a), float(w), float(t)) for cls, (a, w, t) in raw.items()}
+
+
+def dump(r: Rollout) -> dict[str, Any]:
+    """All that is needed to go on."""
+    routers = {}
+    for name, x in r.routers.items():
+        told = None
+        if x.report is not None:
+            p = x.report
+            told = {
+                "instance": p.instance,
+                "digests": dict(p.digests),
+                "ready": p.ready,
+                "in_service": p.in_service,
+                "invariants": p.invariants,
+                "classes": samples(dict(p.classes)),
+            }
+        routers[name] = {
+            "phase": x.phase.value,
+            "since": x.since_ns,
+            "heard": x.heard_ns,
+            "report": told,
+            "first": dict(x.first),
+            "invariants": x.invariants,
+            "before": samples(x.before),
+        }
+    bets = [
+        [*place, b.worse, b.fine, b.slices, b.total, b.verdict.value] for place, b in r.judge.bets.items()
+    ]
+    sides = [[*place, new, samples({"": side.before})[""]] for (place, new), side in r.judge.sides.items()]
+    return {
+        "v": VERSION,
+        "now": r.now,
+        "stage": r.stage,
+        "stage_ns": r.stage_ns,
+        "outcome": r.outcome.value,
+        "why": r.why,
+        "harmed": list(r.harmed) if r.harmed else None,
+        "after": r.after_ns,
+        "routers": routers,
+        "bets": bets,
+        "sides": sides,
+    }
+
+
+def load(plan: Plan, raw: dict[str, Any], now: int) -> Rollout:
+    """The rollout as it was, at a time no earlier than it was left.  Raises SnapshotError."""
+    try:
+        if raw["v"] != VERSION:
+            raise SnapshotError(f"version {raw['v']!r} is not known here; version {VERSION} is")
+        if set(raw["routers"]) != {t.name for t in plan.routers}:
+            raise SnapshotError("it is of other routers than the plan's")
+        r = Rollout(plan, max(now, int(raw["now"])))
+        r.stage, r.stage_ns, r.why = int(raw["stage"]), int(raw["stage_ns"]), str(raw["why"])
+        r.outcome, r.after_ns = Outcome(raw["outcome"]), int(raw["after"])
+        r.harmed = (str(raw["harmed"][0]), str(raw["harmed"][1])) if raw["harmed"] else None
+        for name, x in raw["routers"].items():
+            router = r.routers[name] = Router(
+                r.routers[name].target, Phase(x["phase"]), int(x["since"]), int(x["heard"])
+            )
+            router.first, router.invariants = dict(x["first"]), int(x["invariants"])
+            router.before = of_samples(x["before"])
+            if x["report"] is not None:
+                p = x["report"]
+                router.report = Report(
+                    name,
+                    p["instance"],
+                    p["digests"],
+                    p["ready"],
+                    p["in_service"],
+                    p["invariants"],
+                    of_samples(p["classes"]),
+                )
+        r.judge = Judge(plan.rates)
+        for zone, cls, worse, fine, slices, total, verdict in raw["bets"]:
+            bet = r.judge.bets[zone, cls] = Bet(plan.rates)
+            bet.worse, bet.fine, bet.slices, bet.total = list(worse), list(fine), slices, total
+            bet.verdict = Verdict(verdict)
+        for zone, cls, new, before in raw["sides"]:
+            r.judge.side((zone, cls), new).before = of_samples({"": before})[""]
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        if isinstance(error, SnapshotError):
+            raise
+        raise SnapshotError(f"{type(error).__name__}: {error}") from error
+    return r
--- a/kelpcroft/rollout/stages.py
+++ b/kelpcroft/rollout/stages.py
@@ -13,13 +13,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from kelpcroft.rollout.judge import Judge, Place, Sample, Verdict
 from kelpcroft.rollout.plan import Plan, Target
 
+SMALL_SHARE = 0.02  # of a zone's worth: a class below it is too rare to wait for
 STALE_TURNS = 3  # polls without an answer after which a router is unknown
 
 
@@ -144,6 +145,7 @@
         self.why = ""  # it is held or taken back
         self.judge = Judge(plan.rates)
         self.polled_ns = self.sliced_ns = now - plan.every_ns
+        self.looked_ns = now  # since when somebody asks: before that, silence is nobody's
         self.harmed: Place | None = None
         self.after_ns = -1  # since when all is taken back
         self.effects: list[Effect] = []
@@ -160,6 +162,26 @@
             self.step()
         return self.effects
 
+    def resume(self, now: int, repeat: bool) -> list[Effect]:
+        """After another process has taken over: what was ordered last at each router may never have gone out.
+        Orders that do no harm twice go out again; a change only if its tool says so (``repeat``), else the
+        router's own digests tell what became of it, and time does where they do not."""
+        self.now, self.effects = max(now, self.now), []
+        self.polled_ns = self.now - self.plan.every_ns
+        self.looked_ns = self.now
+        again = {Phase.OUT: Act.OUT, Phase.LEAVING: Act.OUT, Phase.COLD: Act.IN, Phase.TAKEN_BACK: Act.IN}
+        if repeat:
+            again |= {Phase.CHANGED: Act.APPLY, Phase.UNDONE: Act.UNDO}
+        for name, router in self.routers.items():
+            if router.phase in AWAY and router.phase is not Phase.COLD:
+                router.since_ns = self.now  # its time begins anew: nobody looked meanwhile
+            if router.phase in again:
+                self.effects.append(Do(name, again[router.phase]))
+        self.note(
+            "resumed", f"taken over in stage {self.stage + 1} of {len(self.stages)}, {self.outcome.value}"
+        )
+        return self.effects
+
     # What is heard ----------------------------------------------------------------------------------------
 
     def on_report(self, r: Report) -> None:
@@ -212,7 +234,8 @@
 
     def unknown(self, router: Router) -> bool:
         """Whether nothing was heard of a router for so long that nothing is known of it."""
-        return self.now - max(router.heard_ns, self.begun(router)) > STALE_TURNS * self.plan.every_ns
+        since = max(router.heard_ns, self.begun(router), self.looked_ns)
+        return self.now - since > STALE_TURNS * self.plan.every_ns
 
     def begun(self, router: Router) -> int:
         """A process that is being changed is silent for a while, and has until ready to speak."""
@@ -241,7 +264,7 @@
         zone = router.target.zone
         return (
             not self.unknown(router)
-            and router.heard_ns >= 0
+            and router.heard_ns >= self.looked_ns
             and self.away() < self.plan.at_once
             and self.away(zone) < self.plan.per_zone
         )
@@ -352,7 +375,7 @@
             verdict is not Verdict.WORSE
             and warm >= stage.least_ns
             and (verdict is Verdict.FINE or not self.comparable())
-            and not any(map(self.unknown, here))
+            and all(r.heard_ns >= self.looked_ns and not self.unknown(r) for r in here)
         ):
             alone = sorted({r.target.zone for r in here} - {zone for zone, _ in self.comparable()})
             more = f"; nothing was left to compare with in {', '.join(alone)}" if alone else ""
@@ -383,17 +406,20 @@
         self.note("stage", f"stage {self.plan.stages[stage].name!r} begins", routers=sorted(changing))
 
     def comparable(self) -> frozenset[Place]:
-        """Zones and classes of this stage in which an old router is left and both sides are asked."""
-        old, new = (set(self.places(side)) for side in (False, True))
-        return frozenset(old & new)
-
-    def places(self, new: bool) -> Iterator[Place]:
-        changing = {t.name for t in self.stages[self.stage]}
-        for name, router in self.routers.items():
-            if router.phase is (Phase.JUDGED if new else Phase.WAITING) and (not new or name in changing):
+        """Where evidence is wanted: zones of this stage in which an old router is left, by each class that
+        has SMALL_SHARE of the worth asked for there, on whichever side.  A zone with an old router and no
+        request at all wants evidence too: it has none, and silence is not good."""
+        zones = {t.zone for t in self.stages[self.stage]}
+        asked: dict[Place, float] = {}
+        left = {r.target.zone for r in self.routers.values() if r.phase is Phase.WAITING} & zones
+        for router in self.routers.values():
+            if router.target.zone in left:
                 for cls, sample in (router.report.classes if router.report else {}).items():
-                    if sample.asked:
-                        yield router.target.zone, cls
+                    place = router.target.zone, cls
+                    asked[place] = asked.get(place, 0.0) + sample.worth
+        whole = {zone: sum(worth for (z, _), worth in asked.items() if z == zone) for zone in left}
+        wanted = {(z, cls) for (z, cls), worth in asked.items() if worth > SMALL_SHARE * whole[z]}
+        return frozenset(wanted | {(zone, "") for zone in left if not whole[zone]})
 
     def slice(self) -> None:
         """A slice of time: what each side did in it goes to the judge, or to the figures from before."""
@@ -404,7 +430,7 @@
         for router in self.routers.values():
             fresh, router.fresh = router.fresh, {}
             new = router.phase is (Phase.TAKEN_BACK if self.after_ns >= 0 else Phase.JUDGED)
-            if router.phase is Phase.WAITING:    # all that still wait are the old, at the same time
+            if router.phase is Phase.WAITING:  # all that still wait are the old, at the same time
                 for cls, sample in fresh.items():
                     router.before[cls] = router.before.get(cls, Sample()) + sample
             if self.stage >= 0 and (new or router.phase is Phase.WAITING) and not self.unknown(router):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,7 +14,9 @@
 from kelpcroft.cli import main
 from kelpcroft.rollout.judge import Bet, Judge, Rates, Sample, Verdict
 from kelpcroft.rollout.plan import load
-from kelpcroft.rollout.stages import Act, Order, Outcome, Phase, Report, Rollout
+from kelpcroft.rollout.snapshot import SnapshotError, dump
+from kelpcroft.rollout.snapshot import load as restored
+from kelpcroft.rollout.stages import Act, Do, Order, Outcome, Phase, Report, Rollout
 from kelplab.rollouts import Process, S, World, plan_of
 from kelplab.standin import ROOT
 
@@ -210,6 +212,51 @@
         self.assertIn("not enough evidence of class", world.rollout.why)
         self.assertEqual(len(world.touched), 1)
 
+    def test_a_new_router_that_nobody_asks_is_not_good(self) -> None:
+        """Clients that went to its neighbours stayed there: a harmful build went through every stage."""
+
+        class Unasked(World):
+            def second(self) -> None:
+                for p in self.processes.values():
+                    if p.build == "beef":
+                        p.classes = {}
+                super().second()
+                for p in self.processes.values():
+                    if p.build == "beef":
+                        p.classes = {}
+
+        for rate in (30.0, 0.0):
+            world = Unasked(plan_of(3, 4), 1, sound, rate=rate)
+            self.assertEqual(world.run(), Outcome.HELD)
+            self.assertIn("not enough evidence", world.rollout.why)
+            self.assertEqual(len(world.touched), 1)
+
+    def test_another_process_goes_on_at_any_instant(self) -> None:
+        """Taken over after any step, with the orders of that step lost: no router is changed twice or
+        forgotten.  Once the silence while nobody asked counted as the routers', and held it at once."""
+        for every in (7, 23, 61):
+            world = World(plan_of(2, 3), 3, sound)
+            for n in range(3_000):
+                if n % every == every - 1:
+                    raw = json.loads(json.dumps(dump(world.rollout)))
+                    world.now += 20 * S  # the lease of the one before has to end
+                    world.rollout = restored(world.plan, raw, world.now)
+                    for effect in world.rollout.resume(world.now, True):
+                        if isinstance(effect, Do):
+                            world.order(effect)
+                world.second()
+                if world.rollout.outcome is not Outcome.RUNNING:
+                    break
+            self.assertEqual(world.rollout.outcome, Outcome.DONE, (every, world.rollout.why))
+            self.assertEqual({p.instance for p in world.processes.values()}, {2}, "each changed once")
+
+    def test_a_snapshot_that_cannot_be_used_says_why(self) -> None:
+        world = World(plan_of(2, 3), 1, sound)
+        good = dump(world.rollout)
+        for change in ({"v": 9}, {"routers": {}}, {"outcome": "lost"}, {"bets": [[1]]}, {"stage": "x"}):
+            with self.assertRaises(SnapshotError):
+                restored(world.plan, {**good, **change}, 0)
+
     def test_silent_routers_hold_it_and_are_never_good(self) -> None:
         world = self.world(sound)
         for n, p in enumerate(world.processes.values()):
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -22,8 +22,8 @@
     "zincgrade/interface.py", "zincgrade/estimate.py", "zincgrade/held.py", "zincgrade/policy.py",
     "kelpcroft/core/keys.py", "kelpcroft/core/ledger.py", "kelpcroft/core/links.py",
     "kelpcroft/core/state.py", "kelpcroft/core/requests.py", "kelpcroft/core/attempts.py",
-    "kelpcroft/core/members.py", "kelpcroft/core/reducer.py", "kelpcroft/net/front.py", "kelpcroft/net/shelf.py",
-    "kelpcroft/net/buffers.py", "kelpcroft/net/loop.py",
+    "kelpcroft/core/members.py", "kelpcroft/core/reducer.py", "kelpcroft/net/front.py",
+    "kelpcroft/net/shelf.py", "kelpcroft/net/buffers.py", "kelpcroft/net/loop.py",
 )
 # Compiled apart: what is compiled together is loaded together, and these are wanted only with a file.
 ROUTES = tuple(f"kelpcroft/routes/{name}.py" for name in ("budget", "sketch", "index", "table"))
