--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kelpcroft import messages as m
-from kelpcroft.core.state import Request, State
+from kelpcroft.core.state import SECOND, Request, State
 from kelpcroft.invariants import holds
 from zincgrade import interface as api
 
@@ -29,6 +29,8 @@
         if (c.fault or cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces
                 or cls.effect is api.Effect.KEYED and not c.nonce):
             self.state.tally["not usable"] += 1
+            if self.state.ledger is not None and cls is not None:
+                self.state.ledger.ended(cls.name, "failed", 0, cls.worth, False)
             self.state.effects.append(m.Break(c.client, c.call))
             return
         keyed = cls.effect is api.Effect.KEYED
@@ -50,7 +52,7 @@
                                 len(c.body) > 0, patience, c.waited_ns)
             if grant is not None:
                 patience = grant.wait_ns
-        request = Request(str(self.state.made), c, self.state.now + patience, grant)
+        request = Request(str(self.state.made), c, self.state.now + patience, grant, patience_ns=patience)
         self.state.requests[self.state.made] = self.state.calls.setdefault(c.client, {})[c.call] = request
         self.state.traces.add(c.trace)
         ran = None
@@ -72,6 +74,8 @@
         key may have run and a repeat elsewhere would run it again (rule 2: whoever words a refusal)."""
         self.state.tally[why] += 1
         cls, keys = self.state.classes.get(c.cls), self.state.keys
+        if self.state.ledger is not None and cls is not None:
+            self.state.ledger.ended(cls.name, "refused", 0, cls.worth, False)
         ran = c.nonce and ((c.cls, c.nonce) in keys.open or keys.find(self.state.now, c.cls, c.nonce))
         harmful = ran and cls is not None and cls.effect is api.Effect.KEYED and cls.group != "all"
         answer = m.Break(c.client, c.call) if harmful else m.Decline(c.client, c.call, 0)
@@ -92,6 +96,8 @@
             del self.state.calls[request.call.client]
         if request.grant is not None:
             request.grant.release()
+        if self.state.ledger is not None:
+            self.book(request, answer)
         if self.state.traced:
             self.state.trace("final", id=request.call.trace, cls=request.call.cls, tries=request.tries,
                              how=type(answer).__name__ if answer else "gone", out=request.out,
@@ -99,6 +105,17 @@
         if answer:
             self.state.effects.append(answer)
 
+    def book(self, request: Request, answer: m.Serve | m.Decline | m.Break | None) -> None:
+        """Note what became of a request.  Its time counts from the client's send."""
+        cls, c, s = self.state.classes.get(request.call.cls), request.call, self.state
+        if cls is None or s.ledger is None:
+            return
+        pace, unit = s.settings.pace_kb_per_s, s.policy.unit.get(cls.name)
+        own = c.size_kb / pace * SECOND if c.size_kb and pace else unit.mean if unit else 0.0
+        took = s.now - request.deadline_ns + request.patience_ns + c.waited_ns
+        how = {m.Serve: "served", m.Decline: "refused", m.Break: "failed"}.get(type(answer), "gone")
+        s.ledger.ended(cls.name, how, request.tries, cls.worth, took <= cls.aim_ns + cls.aim_stretch * own)
+
     def gone(self, request: Request) -> None:
         """The client has stopped waiting."""
         self.finish(request, None)
