--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,130 @@
+"""What a bad change costs all at once, one by one, or in judged stages; and what a rollout takes.
+
+    python -m benchmarks.rollout [--seeds 3] [--large]
+
+In virtual time (kelplab/rollouts.py), with the very state machine and judgement of the program.  Harm is the
+number of requests that the change cost, and of routers that it touched.  `--large` adds the duration and the
+work of a controller at 10, 100 and 1,000 routers.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from time import perf_counter
+
+from kelpcroft.rollout.stages import Outcome
+from kelplab.rollouts import Process, S, World, plan_of
+
+Defect = Callable[[World, Process, str], float]
+SECONDS = 1_500
+
+
+def defect(share: float, cls: str = "", zone: str = "") -> Defect:
+    """So much more harm at the new build, in one class or zone if so wanted."""
+    return lambda world, p, found: (
+        share if p.build == "beef" and cls in ("", found) and zone in ("", p.zone) else 0.0
+    )
+
+
+DEFECTS: tuple[tuple[str, Defect], ...] = (
+    ("none", defect(0.0)),
+    ("1 in 20", defect(0.05)),
+    ("3 in 10", defect(0.3)),
+    ("3 in 10, writes only", defect(0.3, cls="writes")),
+    ("3 in 10, one zone", defect(0.3, zone="z2")),
+)
+
+
+def at_once(world: World) -> tuple[float, int, int]:
+    """Every router changed in the first second; people see it after ten minutes and take it back."""
+    for p in world.processes.values():
+        world.start(p, "beef")
+    for n in range(SECONDS):
+        if n == 600:
+            for p in world.processes.values():
+                world.start(p, "old")
+        quiet(world)
+    return world.harmed, len(world.processes), SECONDS
+
+
+def one_by_one(world: World) -> tuple[float, int, int]:
+    """One router every half minute without judgement; the same people."""
+    names = list(world.processes)
+    for n in range(SECONDS):
+        if n % 30 == 0 and n // 30 < len(names) and n < 600:
+            world.start(world.processes[names[n // 30]], "beef")
+        if n == 600:
+            for p in world.processes.values():
+                if p.build == "beef":
+                    world.start(p, "old")
+        quiet(world)
+    return world.harmed, min(len(names), 20), SECONDS
+
+
+def quiet(world: World) -> None:
+    """A second of requests in which no rollout acts."""
+    rollout, world.rollout.outcome = world.rollout, Outcome.DONE
+    world.second()
+    world.rollout = rollout
+
+
+def staged(world: World) -> tuple[float, int, int]:
+    """In stages, judged; a held one is taken back by people after ten minutes."""
+    outcome = world.run(SECONDS)
+    seconds = (world.now - 1_000 * S) // S
+    if outcome is Outcome.HELD:
+        for _ in range(600):
+            quiet(world)
+    return world.harmed, len(world.touched), seconds
+
+
+def main(words: list[str]) -> int:
+    seeds = int(words[words.index("--seeds") + 1]) if "--seeds" in words else 3
+    print(f"12 routers in 3 zones, {seeds} seeds; requests harmed, routers touched, seconds\n")
+    print(f"{'defect':24}{'all at once':>22}{'one by one':>22}{'staged':>22}{'staged/at once':>16}")
+    for name, harm in DEFECTS:
+        cells, costs = [], []
+        for way in (at_once, one_by_one, staged):
+            found = [way(World(plan_of(3, 4), seed, harm)) for seed in range(seeds)]
+            cost, touched, took = (sum(x[n] for x in found) / seeds for n in range(3))
+            costs.append(cost)
+            cells.append(f"{cost:.0f}, {touched:.0f}, {took:.0f}")
+        ratio = f"{costs[2] / costs[0]:.3f}" if costs[0] else "-"
+        print(f"{name:24}" + "".join(f"{cell:>22}" for cell in cells) + f"{ratio:>16}", flush=True)
+    if "--large" not in words:
+        return 0
+    print(f"\n{'routers':>8}{'outcome':>10}{'seconds':>9}{'controller us a router and second':>36}")
+    for zones, each in ((2, 5), (10, 10), (20, 50)):
+        total = zones * each
+        more = (
+            f"limits at-once={max(2, total // 10)} per-zone={max(1, each // 5)}\n"
+            'watch every="1s" slowest="30s" ready="10s" cold="10s" unknown=1\n'
+        )
+        stages = (
+            'stage "one" count=1 least="30s" most="900s"\n'
+            'stage "tenth" share="10%" least="30s" most="900s"\n'
+            'stage "half" share="50%" least="30s" most="900s"\n'
+            'stage "all" share="100%" least="30s" most="900s"\n'
+        )
+        world = World(plan_of(zones, each, stages, more), 1, defect(0.0))
+        spent = [0.0]
+        handle = world.rollout.handle
+
+        def timed(now: int, event: object, handle=handle, spent=spent):  # type: ignore[no-untyped-def]
+            began = perf_counter()
+            try:
+                return handle(now, event)
+            finally:
+                spent[0] += perf_counter() - began
+
+        world.rollout.handle = timed  # type: ignore[method-assign]
+        outcome = world.run(4_000)
+        seconds = (world.now - 1_000 * S) // S
+        each_us = spent[0] / seconds / total * 1e6
+        print(f"{total:>8}{outcome.value:>10}{seconds:>9}{each_us:>36.1f}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -6,6 +6,7 @@
 import os
 import re
 import shlex
+import socket
 import subprocess
 import sys
 import tempfile
@@ -77,8 +78,8 @@
 class Printed(unittest.TestCase):
     def test_every_printed_example_runs_as_printed(self) -> None:
         """They named a file of one site beside another's configuration, and ended with three faults."""
-        for verb in ("check", "explain", "diff"):
-            told = CliRunner().invoke(main, [verb, "--help"]).output
+        for verb in ("check", "explain", "diff", "rollout plan"):
+            told = CliRunner().invoke(main, [*verb.split(), "--help"]).output
             example = re.search(r"Example:\s+(kelpcroft .*?)(?:\n\n|\Z)", told, re.S)
             assert example, told
             words = shlex.split(example[1])[1:]
@@ -86,6 +87,26 @@
             self.assertIn(done.exit_code, (0, 1) if verb == "diff" else (0,), done.output)
             self.assertNotIn("unknown", done.output)
 
+    def test_the_example_of_serve_runs_as_printed(self) -> None:
+        """On a free port in place of the example's, which may be taken here."""
+        told = CliRunner().invoke(main, ["serve", "--help"]).output
+        example = re.search(r"Example:\s+kelpcroft (serve .*?)(?:\n\n|\Z)", told, re.S)
+        assert example, told
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        words = shlex.split(example[1])
+        process = subprocess.Popen(
+            [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT, text=True,
+            stderr=subprocess.PIPE, env={**os.environ, "ROUTER_LISTEN": f"127.0.0.1:{port}"})
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        assert process.stderr
+        said = iter(process.stderr.readline, "")
+        self.assertTrue(any("router.listens" in line for line in said), "it does not serve")
+        process.terminate()
+        process.stderr.read()
+        self.assertEqual(process.wait(20), 0)
+
     def test_diff_without_a_deployment_tells_kinds_apart(self) -> None:
         words = ["diff", str(ROOT / "deploy/routes.kdl"), str(ROOT / "examples/operator.kdl")]
         told = CliRunner().invoke(main, words).output
