Count what is out at a dead cache against nobody else's links

What was out at a cache held to be dead stayed in the sum over the weights of the living until its time-out (policy.taken): its weight was taken off, its attempts were not.

The new test fails without the change.

--- a/tests/test_early_limits.py
+++ b/tests/test_early_limits.py
@@ -42,6 +42,18 @@
             end(p, S + 900 * MS, f, Outcome.OK, took=900 * MS, note=Note.HIT)
         self.assertTrue(all(burst(p, S + 950 * MS, int(CACHES) // 2, 400.0, "after")))
 
+    def test_what_is_stuck_at_a_dead_cache_keeps_nobody_out(self) -> None:
+        """A cache that fell silent held its attempts until their time-out, and the zone refused two in five."""
+        p = policy()
+        out = [f for n in range(60) for f in fetches(ask(p, S, f"r{n}", n, size_kb=400.0))]
+        for f in out:
+            if f.cache != "c0":
+                end(p, S + 400 * MS, f, Outcome.OK, took=400 * MS, note=Note.HIT)
+        self.assertGreater(p.nodes["c0"].held, 8)
+        p.blame(p.nodes["c0"], 3, True)
+        self.assertTrue(all(burst(p, S + 500 * MS, 10, 400.0, "after")))
+        self.assertLess(p.gates[False].caches.value, 1.0)
+
     def test_a_burst_that_is_called_off_at_once_keeps_nobody_out(self) -> None:
         """A client that asked for hundreds and cancelled them filled the offered work of four seconds."""
         refused = {}
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -331,7 +331,9 @@
         fit = sum(n.room(self.now, s.rules) for n in here) / s.zone_instances
         caches = CACHE_ROOM * fit
         if fit:
-            self.gates[False].caches.told(self.now, sum(n.held for n in here) / fit)
+            # What is out at a dead one takes nothing of the others' links; it waits for its time-out there.
+            out = sum(n.held for n in here if not n.health.dead)
+            self.gates[False].caches.told(self.now, out / fit)
         self.gates[False].arrives(price, work, self.now)
         self.gates[False].bound(caches if told and caches else math.inf)
         if held.fills:
