--- a/kelpcroft/cli/common.py
+++ b/kelpcroft/cli/common.py
@@ -49,28 +49,28 @@
 
 
 def raw_of(path: str) -> dict[str, Any]:
-    """A router's configuration as it stands; what only a running router needs may be missing."""
+    """A router's configuration as it stands."""
     try:
-        raw = table("the file", orjson.loads(Path(path).read_bytes()))
+        return table("the file", orjson.loads(Path(path).read_bytes()))
     except OSError as error:
         raise Unfit(f"{path}: {error.strerror}") from error
     except orjson.JSONDecodeError as error:
         raise Unfit(f"{path}: {error}") from error
     except ConfigError as error:
         raise Unfit(f"{path}: {error}") from error
-    filled = {"name": "n", "listen": "127.0.0.1:1", "feed": "127.0.0.1:1", "known": {"n": 0, "events": []}}
-    return {**filled, **raw}
 
 
 def findings(path: str) -> list[Finding]:
-    """What is wrong or odd in a router's configuration."""
+    """What is wrong or odd in a router's configuration, as its start would say it."""
     return deployment_check(raw_of(path))
 
 
 def settings_of(path: str) -> api.Settings:
     """The deployment's settings from a router's configuration.  Its addresses may be missing."""
     try:
-        return parse(raw_of(path), {}).settings
+        at = "127.0.0.1:1"
+        filled = {"name": "n", "listen": at, "feed": at, "known": {"n": 0, "events": []}}
+        return parse({**filled, **raw_of(path)}, {}).settings
     except ConfigError as error:
         raise Unfit(f"{path}: {error}") from error
 
--- a/kelpcroft/deployment/check.py
+++ b/kelpcroft/deployment/check.py
@@ -18,7 +18,6 @@
 NEEDED = ("feed", "known", "settings.az", "settings.dcs")
 BY_CLASS = ("goes_through", "multi_part", "max_age_ns", "usable_after_ns", "old_copy_worth")
 BY_ZONE = ("hub_of", "instances_by_zone", "zone_link_kb_per_s")
-WHOLE = {k.path for k in KEYS if k.path.count(".") == 1 and not k.reader}   # objects that nobody looks into
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelplab/rollouts.py
+++ b/kelplab/rollouts.py
@@ -72,6 +72,7 @@
         self.never_ready = False  # of the new build
         self.crash_after = 0  # of the new build, in ns
         self.wander = 0.0
+        self.later: list[Event] = []         # answers of this second, told behind its tick
 
     def tell(self, event: Event) -> None:
         for effect in self.rollout.handle(self.now, event):
@@ -121,7 +122,7 @@
     def second(self) -> None:
         """One second: requests, then the rollout's turn."""
         self.now += S
-        self.later: list[Event] = []
+        self.later = []
         self.wander = 0.95 * self.wander + self.random.gauss(0, 0.01)
         for p in self.processes.values():
             if (
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -247,6 +247,11 @@
             for key in ("settings.weight_source", "settings.limits.most_tries"):
                 self.assertIn(key, told.output)
                 self.assertIn(key, started.stderr)
+            del raw["feed"]                  # once filled in by the command, and refused by the start alone
+            with open(path, "w") as file:
+                json.dump(raw, file)
+            told = CliRunner().invoke(main, ["check", "--config", path])
+            self.assertIn("fault: feed: is missing", told.output)
         self.assertEqual(CliRunner().invoke(main, ["check"]).exit_code, 2)
         good = CliRunner().invoke(main, ["check", "--config", str(ROOT / "examples/config.json")])
         self.assertEqual(good.exit_code, 0)
