Descriptors shared out by kind, and none left is an answer, not an end

Seen: Loop.dial and Loop.poll made a fresh socket in the handler of the very OSError that says there is none. With RLIMIT_NOFILE at the lowest free descriptor both raised EMFILE out of the turn and ended the process; a listener that could not accept was ready in every turn, with a line in the log each time. Ruled out: that the platform's limits hide it; clients are capped, but callers had no share, and a limit of the system under limits.sockets was never looked at. At fault: loop.dial, loop.poll, loop.accept, state.SPARE_SOCKETS. Change: core/descriptors.py shares out what there is; config counts on no more than the system gives; a dial or call that cannot be begun is an input; a client that rests goes for one that asks; a listener that cannot accept is left alone until the next look; before a listener of our own closes, who waits on it is taken; callers' sockets have TCP_NODELAY. tests/turns.py plays the loop a turn at a time on real connections.

--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -9,6 +11,7 @@
 
 import orjson
 
+from kelpcroft.core.descriptors import LEAST as LEAST_SOCKETS
 from kelpcroft.deployment import Finding, check
 from kelpcroft.deployment.known import host_port
 from kelpcroft.messages import News, Reload
@@ -17,7 +20,6 @@
 from zincgrade.simhost import Kinds, settings_of
 
 NS_PER_MS = 1_000_000
-LEAST_SOCKETS = 64          # under this no useful number of clients and servers fits
 FILE_MOST = 16 << 20        # bytes of a configuration read again
 
 
@@ -90,7 +92,26 @@
     faults = [f"{f}" for f in found if f.level == "fault"]
     if faults:
         raise ConfigError("\nconfiguration: ".join(faults))
-    return replace(parse(raw, environ), doubts=tuple(found))
+    return held(replace(parse(raw, environ), doubts=tuple(found)), descriptors())
+
+
+def descriptors() -> int:
+    """How many descriptors the system lets this process have."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
+def held(config: Config, most: int) -> Config:
+    """A configuration that counts on no more descriptors than the system gives.  The settings may say more:
+    who counts on those fails on the first that is not there, with clients already taken."""
+    if config.sockets <= most:
+        return config
+    if most < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: the system gives this process {most} descriptors; "
+                          f"{LEAST_SOCKETS} at the least would do")
+    doubt = Finding("doubt", "limits.sockets", f"{config.sockets}, but the system gives {most}",
+                    f"a limit of that many; {most} are counted on")
+    return replace(config, sockets=most, doubts=(*config.doubts, doubt))
 
 
 def reread(environ: Mapping[str, str]) -> Reload:
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -11,6 +11,7 @@
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
+from kelpcroft.core.descriptors import shared_out
 from kelpcroft.core.keys import Keys
 from kelpcroft.core.ledger import Ledger
 from kelpcroft.core.links import Link, Links
@@ -26,8 +27,6 @@
 
 MS = 1_000_000
 SECOND = 1_000 * MS
-CLIENT_SHARE = 3             # clients hold at most one of so many descriptors
-SPARE_SOCKETS = 24           # listener, feed, log, selector and the like
 
 
 @dataclass(slots=True)
@@ -80,9 +79,8 @@
         self.settings = config.settings                      # as now in use: retuned at SIGHUP
         self.classes = {c.name: c for c in config.settings.classes}
         self.used = config.raw                               # the configuration in use, as read
-        clients = config.sockets // CLIENT_SHARE
         self.own = mix(config.settings.seed ^ int.from_bytes(config.name.encode()[-8:], "big"))
-        self.links = Links(config.sockets - clients - SPARE_SOCKETS, config.max_streams, self.own)
+        self.links = Links(shared_out(config.sockets).servers, config.max_streams, self.own)
         self.endpoints: dict[str, m.Endpoint] = {}
         self.requests: dict[int, Request] = {}               # those that owe an answer
         self.calls: dict[int, dict[int, Request]] = {}       # the same, by client and call
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -14,6 +14,7 @@
 
 from kelpcroft import messages as m
 from kelpcroft.config import Config
+from kelpcroft.core.descriptors import shared_out
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.log import EventLog
 from kelpcroft.net import control, front, handing, listeners, shelf
@@ -36,14 +37,13 @@
 CLEAN_NS = SECOND // 10      # between looks at silent, idle, stalled and stuck connections
 COMPLAINTS = 2               # lines about bad clients between such looks: they come by the hundred
 STUCK_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
+EMPTY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # nothing is left to make a socket of
 DOWN = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT)
 POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
-SPARE_CLIENTS = 8            # connections accepted over the clients' share
 STALL_NS = SECOND // 4       # a look that comes so late: the machine or the process stood still
 BLIND_NS = SECOND // 25      # after that the feed has so long to tell what is new, before all else
 BLIND_EVERY_NS = SECOND      # between two such waits
 LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
-CALLERS_MOST = 32            # connections to the control address at once; the longest open goes for another
 CALLER_NS = 5 * SECOND       # a caller has so long for its call and to read the answer
 NEW_NS = SECOND              # in a drain, a client that has said nothing is let go after so long
 
@@ -140,9 +140,9 @@
         self.clients: dict[int, Client] = {}
         self.servers: dict[int, Server] = {}
         self.feed: Feed | None = None
-        self.most_clients = config.sockets // 3 + SPARE_CLIENTS
+        self.shares = shared_out(config.sockets)
         self.listener: socket.socket | None = None
-        self.accepting = False
+        self.heeded: set[socket.socket] = set()          # listening sockets that are watched
         self.mgmt: socket.socket | None = None           # the control address
         self.callers: dict[int, Caller] = {}
         self.releasing = False                           # clients go once nothing is owed them
@@ -150,6 +150,7 @@
         self.heap: list[tuple[int, int, m.Key]] = []
         self.dirty: dict[Peer, None] = {}
         self.lost: list[tuple[Peer, str]] = []
+        self.undialled: list[m.LinkLost | m.FeedLost] = []  # connections that could not even be begun
         self.stopping = False
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
@@ -168,6 +169,15 @@
         that is handed over or else bound here to the address of the configuration; calls on the control
         address come on ``mgmt``, bound here where the configuration names one and none is given.  The first
         call of the list waits ``gentle_ns`` more, where the router starts again and again."""
+        self.begin(signals, first, listener, mgmt, handed, gentle_ns)
+        while not self.stopping:
+            self.turn()
+        self.linger()
+
+    def begin(self, signals: int | None = None, first: m.Rules | None = None,
+              listener: socket.socket | None = None, mgmt: socket.socket | None = None,
+              handed: m.Handover | None = None, gentle_ns: int = 0) -> None:
+        """All of ``run`` before its first turn."""
         self.signals = signals
         if signals is not None:
             self.selector.register(signals, selectors.EVENT_READ, None)
@@ -179,7 +189,7 @@
             mgmt = listeners.bound("mgmt", self.config.mgmt)
         if mgmt is not None:
             self.mgmt = mgmt
-            self.selector.register(mgmt, selectors.EVENT_READ, None)
+            self.heed(mgmt, True)
             at = listeners.where(mgmt)
             self.log("control.listens", f"control address on {at}", {"at": at})
         self.listen(listener)
@@ -187,25 +197,25 @@
             self.tell(first)
         self.tell(m.Listening())
         self.selected_ns = self.clock.now()
-        while not self.stopping:
-            self.turn()
-        self.linger()
 
     def listen(self, listener: socket.socket | None) -> None:
         """Take clients on the socket handed over, or at the one address that was named."""
         self.listener = listener or listeners.bound("listen", self.config.listen)
-        self.accept_more(True)
+        self.heed(self.listener, True)
         at, how = listeners.where(self.listener), "bound" if self.config.inherited is None else "inherited"
         self.log("router.listens", f"{self.config.name} listens on {at} ({how})", {"at": at, "socket": how})
 
-    def accept_more(self, on: bool) -> None:
-        """Watch the listener or leave it alone."""
-        if self.listener and on != self.accepting:
-            self.accepting = on
-            if on:
-                self.selector.register(self.listener, selectors.EVENT_READ, None)
-            else:
-                self.selector.unregister(self.listener)
+    def heed(self, listener: socket.socket | None, on: bool) -> None:
+        """Watch a listening socket or leave it alone: one that has callers and cannot accept is ready in
+        every turn, and the loop would spin on it.  ``clean`` tries it again."""
+        if listener is None or on == (listener in self.heeded):
+            return
+        if on:
+            self.heeded.add(listener)
+            self.selector.register(listener, selectors.EVENT_READ, None)
+        else:
+            self.heeded.discard(listener)
+            self.selector.unregister(listener)
 
     def linger(self) -> None:
         """Flush, then let clients read to the end: a close with input unread would reset the connection."""
@@ -334,7 +344,7 @@
 
     def flush(self) -> None:
         """Write what this turn asked for; a failed write is an input, and may ask for more."""
-        while self.dirty or self.lost:
+        while self.dirty or self.lost or self.undialled:
             dirty, self.dirty = self.dirty, {}
             for peer in dirty:
                 if peer.up and peer.sock.fileno() >= 0:
@@ -342,6 +352,9 @@
             lost, self.lost = self.lost, []
             for peer, why in lost:
                 self.lose(peer, why)
+            undialled, self.undialled = self.undialled, []
+            for message in undialled:
+                self.tell(message)
 
     def tell(self, message: m.Input) -> None:
         """One input to the reducer, and what it asks for."""
@@ -407,9 +420,7 @@
                 for client in list(self.clients.values()):
                     self.let_go(client)
             elif isinstance(e, m.StopAccepting):
-                self.accept_more(False)
-                if self.listener:
-                    self.listener.close()
+                self.stop_accepting()
             else:
                 self.flush()
                 self.stopping = True
@@ -428,7 +439,14 @@
 
     def connect(self, address: tuple[str, int]) -> socket.socket:
         """A connection under way.  OSError where even that cannot be had."""
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            # The shares were reckoned from a limit that no longer holds: one that rests goes for it.
+            if error.errno not in EMPTY or not self.make_room():
+                raise
+            sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         code = sock.connect_ex(address)
@@ -443,9 +461,8 @@
         try:
             sock = self.connect((host, int(port)))
         except OSError as error:
-            # Said in a turn of its own: the reducer is in the middle of what asked for it.
-            self.servers[e.link] = Server(e.link, socket.socket(), self.pool, now)
-            self.lost.append((self.servers[e.link], str(error)))
+            # Said once what asked for it is carried out.  Nothing was opened, so nothing is to be closed.
+            self.undialled.append(m.LinkLost(e.link, str(error)))
             return
         self.servers[e.link] = Server(e.link, sock, self.pool, now)
         self.watch(self.servers[e.link], selectors.EVENT_WRITE)
@@ -458,8 +475,7 @@
             try:
                 self.feed = Feed(self.connect(self.feed_at), self.pool, now)
             except OSError as error:
-                self.feed = Feed(socket.socket(), self.pool, now)
-                self.lost.append((self.feed, str(error)))
+                self.undialled.append(m.FeedLost(str(error)))
                 return
             self.watch(self.feed, selectors.EVENT_WRITE)
         feed = self.feed
@@ -487,25 +503,48 @@
         return (0 if isinstance(peer, Client) and waits > SLOW_BYTES else selectors.EVENT_READ) | (
             selectors.EVENT_WRITE if waits else 0)
 
-    def accept(self) -> None:
+    def stop_accepting(self) -> None:
+        """Close the listening socket.  Whoever waits on one of our own has connected: the close would reset
+        them, so they are taken first.  On a shared one another process takes them."""
+        if self.listener is None:
+            return
+        if self.config.inherited is None:
+            for _ in range(listeners.BACKLOG // ACCEPTS):
+                if not self.accept():
+                    break
+        self.heed(self.listener, False)
+        self.listener.close()
+        self.listener = None
+
+    def accept(self) -> bool:
+        """Take clients that wait.  Whether more may wait."""
         assert self.listener
         for _ in range(ACCEPTS):
-            if len(self.clients) >= self.most_clients and not self.make_room():
-                self.accept_more(False)
-                return
+            if len(self.clients) >= self.shares.clients and not self.make_room():
+                self.heed(self.listener, False)
+                return False
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
-                self.log("accept.failed", f"accept: {error}", {"why": str(error)}, "warning")
-                return
+                if error.errno in EMPTY and self.make_room():
+                    continue
+                self.not_accepted("accept", error)
+                if error.errno in EMPTY:
+                    self.heed(self.listener, False)
+                    return False
+                continue             # the one that waited has gone: the next may be well
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.made += 1
             client = self.clients[self.made] = Client(self.made, sock, self.pool, self.clock.now())
             self.watch(client, selectors.EVENT_READ)
             self.tell(m.ClientCame(client.number))
+        return True
+
+    def not_accepted(self, what: str, error: OSError) -> None:
+        self.log("accept.failed", f"{what}: {error}", {"why": str(error)}, "warning")
 
     def writable(self, peer: Peer) -> None:
         if not peer.up:
@@ -600,11 +639,20 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                self.log("accept.failed", f"control accept: {error}", {"why": str(error)}, "warning")
-                return
-            if len(self.callers) >= CALLERS_MOST:
+                # Callers go after CALLER_NS at the latest, each by itself: the oldest makes room at once.
+                self.not_accepted("control accept", error)
+                if error.errno not in EMPTY:
+                    continue
+                if self.callers:
+                    self.close(min(self.callers.values(), key=lambda c: c.opened_ns))
+                elif not self.make_room():
+                    self.heed(self.mgmt, False)
+                    return
+                continue
+            if len(self.callers) >= self.shares.callers:
                 self.close(min(self.callers.values(), key=lambda c: c.opened_ns))
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a close takes along what waits
             self.made += 1
             caller = Caller(self.made, sock, self.pool, self.clock.now(), self.exposed)
             self.callers[self.made] = caller
@@ -709,8 +757,8 @@
         peer.sock.close()
         if isinstance(peer, Client):
             self.clients.pop(peer.number, None)
-            if len(self.clients) < self.most_clients and not self.reducer.ending:
-                self.accept_more(True)
+            if len(self.clients) < self.shares.clients:
+                self.heed(self.listener, True)
         elif isinstance(peer, Server):
             self.servers.pop(peer.number, None)
         elif isinstance(peer, Caller):
@@ -722,6 +770,8 @@
         """Connections that take nothing any more give their buffers back; clients that say nothing, or have
         nothing open for long, make room: some keep their connection for good, and would hold every place."""
         self.cleaned_ns, self.complaints = now, 0
+        self.heed(self.listener, True)
+        self.heed(self.mgmt, True)
         for caller in [c for c in self.callers.values() if now - c.opened_ns > CALLER_NS]:
             self.close(caller)
         if self.releasing:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,108 @@
+"""No descriptor is left: the router goes on, and whoever asks goes before whoever rests."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import orjson
+from player import EXAMPLE, ROOT, WAIT_S
+from turns import MS, SECOND, Turns, call, done
+
+from kelpcroft.config import ConfigError, held, parse
+from kelpcroft.core.descriptors import LEAST, shared_out
+
+
+class Shares(unittest.TestCase):
+    def test_they_add_up(self) -> None:
+        """Callers of the control address had no share: with all others at their most they were over it."""
+        for most in range(LEAST, 5_000):
+            shares = shared_out(most)
+            kinds = (shares.clients, shares.parting, shares.callers, shares.servers)
+            self.assertTrue(all(kind > 0 for kind in kinds), (most, shares))
+            self.assertLess(sum(kinds), most, "and some are the process's own")
+            self.assertGreaterEqual(shares.clients, most // 3, "clients hold a third, by the platform's word")
+
+    def test_the_system_may_give_fewer(self) -> None:
+        """The settings' figure was believed: under a lower limit a dial found none and ended the process."""
+        config = parse(EXAMPLE, {})
+        self.assertIs(held(config, 1_024), config)
+        less = held(config, 100)
+        self.assertEqual((less.sockets, [d.place for d in less.doubts]), (100, ["limits.sockets"]))
+        with self.assertRaises(ConfigError) as caught:
+            held(config, LEAST - 1)
+        self.assertIn("the system gives this process 63 descriptors; 64", str(caught.exception))
+
+    def test_a_process_under_a_low_limit_says_so(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_bytes(orjson.dumps({**EXAMPLE, "listen": "127.0.0.1:9"}))
+            run = subprocess.run(
+                ["sh", "-c", f"ulimit -n 63 && exec {sys.executable} -m kelpcroft"], cwd=ROOT, text=True,
+                env={**os.environ, "ROUTER_CONFIG": str(path)}, capture_output=True, timeout=WAIT_S)
+        self.assertEqual((run.returncode, run.stderr.count("\n")), (2, 1), run.stderr)
+        self.assertIn("limits.sockets", run.stderr)
+
+
+class NoneLeft(unittest.TestCase):
+    def test_a_dial_takes_the_place_of_one_that_rests(self) -> None:
+        """``dial`` made a fresh socket in the handler of the very error that says there is none: it was
+        raised again and ended the process, with all that it had taken."""
+        t = Turns(self)
+        t.until(t.taken("feed").read, "the list is watched")
+        rests, asks = t.client(), t.client()
+        t.turn(SECOND)
+        asks.send(call(1))
+        with t.no_descriptors():
+            t.until(lambda: rests.read() or rests.ended, "the one that rests is let go")
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        cache.send(done(*cache.pulls()))
+        t.until(asks.answers, "it is answered")
+        self.assertEqual(asks.answers(), [[1, 1, None, [b"by", {}]]])
+
+    def test_a_dial_that_cannot_be_made_ends_in_an_answer(self) -> None:
+        t = Turns(self)
+        t.until(t.taken("feed").read, "the list is watched")
+        asks = t.client()
+        asks.send(call(1))
+        with t.no_descriptors():
+            t.until(asks.answers, "it is given up at once")
+        self.assertEqual(asks.answers()[0][2][0], "Shed")
+        asks.send(call(2))
+        t.until(t.taken("cache1").pulls, "later ones are served")
+
+    def test_the_list_is_asked_for_again_once_there_is_one(self) -> None:
+        """``poll`` did the same as ``dial``."""
+        t = Turns(self, feed=False)
+        t.until(lambda: t.loop.feed is None and not t.loop.undialled, "nobody listens")
+        with t.no_descriptors():
+            for _ in range(5):
+                t.turn(500 * MS, turns=3)        # called again and again, without a socket
+        self.assertIsNone(t.loop.feed)
+        host, port = t.loop.feed_at
+        t.listeners["feed"] = back = socket.create_server((host, port))
+        self.addCleanup(back.close)
+        back.setblocking(False)
+        t.turn(500 * MS)
+        t.until(t.taken("feed").read, "the list is asked for")
+
+    def test_a_listener_that_cannot_accept_is_left_alone_for_a_while(self) -> None:
+        """It was ready in every turn: the loop spun, and wrote a line each time."""
+        t = Turns(self)
+        came = [t.client()]
+        came[0].send(call(1))                    # nobody rests, so nobody goes
+        t.until(lambda: t.loop.reducer.state.calls, "it is taken")
+        waits = socket.create_connection(t.address, WAIT_S)
+        self.addCleanup(waits.close)
+        with t.no_descriptors():
+            t.until(lambda: t.loop.listener not in t.loop.heeded, "it is left alone")
+            t.turn(turns=20)
+            self.assertEqual(len([log for log in t.logged if log.event == "accept.failed"]), 1)
+        t.turn(200 * MS)
+        t.until(lambda: len(t.loop.clients) == 2, "it is tried again")
--- /dev/null
+++ b/tests/turns.py
@@ -0,0 +1,209 @@
+"""The loop on real loopback sockets, a turn at a time, in a time that the test moves.
+
+Peers are plain sockets of the test, so the order in which a byte, a close, a signal or a deadline comes is
+the order of the test's lines.  Nothing here sleeps, and no verdict hangs on how fast the machine is:
+``until`` plays turns at one instant of the test's time until something is so.
+"""
+
+from __future__ import annotations
+
+import copy
+import os
+import resource
+import selectors
+import socket
+import struct
+import time
+import unittest
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import msgpack
+from player import EXAMPLE, SERVERS, WAIT_S
+
+from kelpcroft import messages as m
+from kelpcroft.config import parse
+from kelpcroft.net.loop import Clock, Loop
+
+MS, SECOND = 10**6, 10**9
+NOW = 1_764_576_000 * SECOND
+STEP_NS = 100 * MS
+OBJECT = "7f3a9c21e0b4d655"
+
+
+class Unblocked(selectors.DefaultSelector):
+    """Tells what is ready now: time passes where the test says so.  ``hidden`` is told of one look later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hidden: set[Any] = set()
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        return [(key, events) for key, events in super().select(0) if key.fileobj not in self.hidden]
+
+
+class Peer:
+    """One end of a connection, read and written as bytes."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.got, self.ended, self.reset = sock, b"", False, False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def read(self) -> bytes:
+        """All that has come, and whether the other side has ended or reset."""
+        while not self.ended:
+            try:
+                data = self.sock.recv(1 << 16)
+            except BlockingIOError:
+                break
+            except ConnectionResetError:
+                self.ended = self.reset = True
+                break
+            self.got += data
+            self.ended = not data
+        return self.got
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    def answers(self) -> list[Any]:
+        """The MessagePack messages that have come."""
+        unpacker = msgpack.Unpacker(raw=False)
+        unpacker.feed(self.read())
+        return list(unpacker)
+
+    def pulls(self) -> list[str]:
+        """Ids of the attempts that have come, in their order."""
+        words = self.read().split(b"\r\n")
+        return [words[n + 2].decode() for n, word in enumerate(words) if word == b"PULL"]
+
+
+def done(id: str, body: bytes = b"by", word: bytes = b"DONE", fields: bytes = b"tell=mem") -> bytes:
+    """A server's answer."""
+    parts = (id.encode(), word, fields, body)
+    return b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+
+
+def call(number: int, trace: str = "", cls: str = "page", patience: int = 2_000, body: bytes = b"",
+         **more: str) -> bytes:
+    """A client's request; its trace is its number unless told."""
+    fields = {"trace": trace or f"{number:016x}", "patience": str(patience), "entity": OBJECT, "block": "0",
+              "family": "17", **more}
+    return bytes(msgpack.packb([0, number, cls, [fields, body]]))
+
+
+class Turns:
+    """One router in the test's own process, with its servers' listening sockets."""
+
+    def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = ("cache1", "parent", "origin"),
+                 feed: bool = True, orders: dict[str, Any] | None = None,
+                 limits: dict[str, Any] | None = None, settings: dict[str, Any] | None = None,
+                 **more: Any) -> None:
+        """``feed``: the list service listens.  ``orders``: what is otherwise of the class of orders;
+        ``limits``: of ``settings.limits``; ``settings`` and ``more``: of the settings and the whole."""
+        self.now = NOW
+        self.listeners = {n: socket.create_server(("127.0.0.1", 0)) for n in (*only, "feed")}
+        for sock in self.listeners.values():
+            sock.setblocking(False)
+            case.addCleanup(sock.close)
+        endpoints = [{"name": SERVERS[n][0], "address": self.at(n), "zone": SERVERS[n][1],
+                      "type": SERVERS[n][2], "status": "active"} for n in only]
+        feed_at = self.at("feed")
+        if not feed:
+            self.listeners.pop("feed").close()
+        raw = copy.deepcopy({**EXAMPLE, "feed": feed_at, "known": {"n": 1, "events": [
+            {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}]}, **more})
+        raw["settings"].update(settings or {})
+        raw["settings"]["limits"].update(limits or {})
+        raw["settings"]["classes"][1].update(orders or {})
+        self.raw = raw
+        self.logged: list[m.Log] = []
+        self.loop = Loop(parse(raw, {}), Clock(lambda: self.now))
+        self.loop.selector.close()
+        self.loop.selector = self.selector = Unblocked()
+        self.loop.events.write = lambda now, log: self.logged.append(log)  # type: ignore[method-assign]
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        self.address = listener.getsockname()
+        self.loop.begin(listener=listener)
+        case.addCleanup(self.end)
+        self.case = case
+
+    def at(self, name: str) -> str:
+        return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
+
+    def end(self) -> None:
+        loop = self.loop
+        for peer in [*loop.clients.values(), *loop.servers.values(), *loop.callers.values(),
+                     *([loop.feed] if loop.feed else [])]:
+            peer.sock.close()
+        for sock in (loop.listener, loop.mgmt):
+            if sock is not None:
+                sock.close()
+        loop.selector.close()
+
+    def turn(self, after_ns: int = 0, turns: int = 1) -> None:
+        """Time passes, no more at once than a process that did not stand still would see; then so many
+        turns at that instant."""
+        end = self.now + after_ns
+        while self.now < end:
+            self.now = min(end, self.now + STEP_NS)
+            self.loop.turn()
+        for _ in range(turns - bool(after_ns)):
+            self.loop.turn()
+
+    def until(self, so: Callable[[], Any], what: str = "") -> None:
+        """Turns at this instant until something is so: what is on its way in the machine arrives meanwhile."""
+        end = time.monotonic() + WAIT_S
+        while not so():
+            self.case.assertLess(time.monotonic(), end, f"never so: {what or so}")
+            self.loop.turn()
+
+    def client(self) -> Peer:
+        """A client that the router has taken."""
+        peer = Peer(socket.create_connection(self.address, WAIT_S))
+        self.case.addCleanup(peer.sock.close)
+        here = peer.sock.getsockname()
+        self.until(lambda: any(c.sock.fileno() >= 0 and c.sock.getpeername() == here
+                               for c in self.loop.clients.values()), "a client is taken")
+        return peer
+
+    def taken(self, name: str) -> Peer:
+        """The next connection of the router to a server, with its first byte or standing."""
+        found: list[socket.socket] = []
+
+        def come() -> bool:
+            try:
+                found.append(self.listeners[name].accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+        self.until(come, f"{name} is dialled")
+        self.case.addCleanup(found[0].close)
+        return Peer(found[0])
+
+    def none(self, name: str, turns: int = 5) -> None:
+        """Nobody dials a server."""
+        for _ in range(turns):
+            self.loop.turn()
+            with self.case.assertRaises(BlockingIOError):
+                self.listeners[name].accept()
+
+    @contextmanager
+    def no_descriptors(self) -> Iterator[None]:
+        """The process has none left."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        free = os.dup(0)
+        os.close(free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- /dev/null
+++ b/tools/site_variants.py
@@ -0,0 +1,114 @@
+"""Deployments of our own for the bench, made from the operators' site files by stated lists of changes.
+
+    python tools/site_variants.py KIT [--to deploy/sites]
+
+KIT is the operators' kit. Each variant gets a folder with its site file and copies of the files that lie
+beside the site that it is made from. The folder is ignored by git: nothing of a kit enters the repository.
+A change names a table, which of its tables where there are several, and the keys it sets. One whose key or
+table the site does not have is an error: a variant that silently changes nothing proves nothing.
+Exit codes: 0 made, 2 used wrongly.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import shutil
+import sys
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+BESIDE = ("wire.json", "real.json", "design.json", "unlock.txt")
+
+
+@dataclass(frozen=True)
+class Change:
+    """Keys of one table; ``place`` counts tables of the same name from 0."""
+
+    table: str
+    values: dict[str, str]       # as TOML writes them
+    place: int = 0
+
+
+VARIANTS: dict[str, tuple[str, tuple[Change, ...]]] = {
+    # Orders carry a key that binds for a short window; near deadlines, few attempts, dear calls.
+    "near-keyed": ("sites/tt-kits.toml", (
+        Change("", {"name": '"near-keyed"'}),
+        Change("class", {"name": '"strip"', "share": "[3.0, 3.6]", "deadline_ms": "3000", "aim_ms": "450"}),
+        Change("class", {"name": '"leaf"', "share": "[4.6, 5.2]", "deadline_ms": "1500", "worth": "2"}, 1),
+        Change("class", {"name": '"stamp"', "share": "[0.6, 0.9]", "deadline_ms": "2000", "effect": '"keyed"',
+                         "group": '"all"', "window_ms": "700"}, 2),
+        Change("allow", {"max_attempts": "3", "second_copies": "false", "retry_after": "false"}),
+        Change("rules", {"drain_grace_ms": "300"}),
+        Change("prices", {"probe": "0.05", "cross_zone": "0.03", "waste": "0.1"}),
+        Change("tier.conn", {"idle_s": "8", "streams": "8"}),
+    )),
+    # Two classes that must not run twice, one of them most of the worth; nothing can be called off or probed.
+    "far-once": ("more/mass/other/branch-caches.toml", (
+        Change("", {"name": '"far-once"'}),
+        Change("class", {"name": '"reel"', "share": "[5.5, 6.5]", "worth": "1", "deadline_ms": "9000"}),
+        Change("class", {"name": '"plate"', "share": "[2.2, 2.8]", "aim_ms": "400", "late_worth": "0.4"}, 1),
+        Change("class", {"name": '"ledger"', "share": "[0.7, 0.9]", "worth": "6", "deadline_ms": "2500"}, 2),
+        Change("allow", {"probes": "false", "cancel": "false", "max_attempts": "4"}),
+        Change("clients", {"retries": "[0, 1]", "backoff_ms": "[20, 120]"}),
+        Change("discovery", {"notice_s": "[0.4, 2]", "add_s": "[0.2, 1]"}),
+        Change("tier.conn", {"idle_s": "12", "connect_timeout_ms": "300"}),
+        Change("prices", {"waste": "0.05", "origin": "0.06"}),
+    )),
+}
+
+
+def changed(text: str, changes: tuple[Change, ...]) -> str:
+    """A site file with other values.  ValueError where the file has no such table or a key is new to a table
+    that is not a class."""
+    lines = text.splitlines()
+    for change in changes:
+        head = -1 if not change.table else None
+        pattern, seen = re.compile(rf"\[\[?{re.escape(change.table)}\]\]?"), 0
+        for n, line in enumerate(lines):
+            if head is None and pattern.fullmatch(line.strip()):
+                if seen == change.place:
+                    head = n
+                seen += 1
+        if head is None:
+            raise ValueError(f"no table {change.table!r} number {change.place}")
+        end = next((n for n in range(head + 1, len(lines)) if lines[n].startswith("[")), len(lines))
+        for key, value in change.values.items():
+            at = next((n for n in range(head + 1, end) if re.match(rf"{re.escape(key)}\s*=", lines[n])), None)
+            if at is not None:
+                lines[at] = f"{key} = {value}"
+            elif change.table == "class":
+                lines.insert(head + 1, f"{key} = {value}")
+                end += 1
+            else:
+                raise ValueError(f"{change.table or 'the top'} has no key {key!r}")
+    made = "\n".join(lines) + "\n"
+    tomllib.loads(made)
+    return made
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("kit", type=Path, help="the operators' kit")
+    parser.add_argument("--to", type=Path, default=Path(__file__).parent.parent / "deploy/sites")
+    given = parser.parse_args()
+    for name, (site, changes) in VARIANTS.items():
+        source = given.kit / site
+        try:
+            text = changed(source.read_text(), changes)
+        except (OSError, ValueError) as error:
+            print(f"{source}: {error}", file=sys.stderr)
+            return 2
+        folder = given.to / name
+        folder.mkdir(parents=True, exist_ok=True)
+        for beside in BESIDE:
+            if (source.parent / beside).exists():
+                shutil.copyfile(source.parent / beside, folder / beside)
+        (folder / f"{name}.toml").write_text(text)
+        print(folder / f"{name}.toml")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
