--- a/tests/turns.py
+++ b/tests/turns.py
@@ -160,7 +160,7 @@
             self.loop.turn()
 
     def until(self, so: Callable[[], Any], what: str = "") -> None:
-        """Turns at this instant until something is so: what is on its way in the machine arrives meanwhile."""
+        """Turns at this instant until something is so: what is on its way in the machine arrives."""
         end = time.monotonic() + WAIT_S
         while not so():
             self.case.assertLess(time.monotonic(), end, f"never so: {what or so}")
