One way to end a client's connection, and no end over requests that wait unread

Seen, on real connections with the order of events made by the test: a request that had come and was not yet told by the selector was reset by the close for idleness; an answer of 200 KB on its way to a client was thrown away when that client sent something malformed behind it; three connections in the listening socket's queue were reset with their requests when it closed at SIGTERM + 0.5 s; a router short of CPU ended at + 0.8 s with a request in a socket, as nothing was open that it had read. Ruled out: the loop's order in one turn; each happens between two looks at the selector. At fault: Loop.close in clean, make_room, HangUp and after malformed input (only let_go looked first), StopAccepting, Exit. Change: Loop.part: look for unread input where the client did nothing wrong, write what was answered, end our side, read and throw away for 1 s and 1 MB at most, close; those have their own share of descriptors. The end is put off while a request waits unread, for 1 s at most. What comes after the shutdown is never sent on.

--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -43,6 +43,9 @@
 STALL_NS = SECOND // 4       # a look that comes so late: the machine or the process stood still
 BLIND_NS = SECOND // 25      # after that the feed has so long to tell what is new, before all else
 BLIND_EVERY_NS = SECOND      # between two such waits
+PART_NS = SECOND             # a client whose connection we have ended has so long to end it too ...
+PART_BYTES = 1 << 20         # ... and sends so much at the most that is read and thrown away
+UNHEARD_NS = SECOND          # at the end, requests that still wait unread put it off for so long at most
 LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
 CALLER_NS = 5 * SECOND       # a caller has so long for its call and to read the answer
 NEW_NS = SECOND              # in a drain, a client that has said nothing is let go after so long
@@ -85,7 +88,9 @@
         self.said = False        # a whole message has come
         self.heard_ns = now      # when the last one did, or else the connection
         self.begun_ns = 0        # when the message began of which a part has come
-        self.leaving = False     # hung up on
+        self.leaving = False     # nothing more is taken from it, and nothing more is owed
+        self.parted_ns = 0       # since when its connection is being ended
+        self.thrown = 0          # bytes read since then, and thrown away
 
 
 class Server(Peer):
@@ -138,6 +143,7 @@
         self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)  # of unwritten bytes
         self.scratch = bytearray(SIZE)       # what is read, one connection at a time
         self.clients: dict[int, Client] = {}
+        self.parting: dict[int, Client] = {}             # whose connections are being ended: longest first
         self.servers: dict[int, Server] = {}
         self.feed: Feed | None = None
         self.shares = shared_out(config.sockets)
@@ -150,8 +156,10 @@
         self.heap: list[tuple[int, int, m.Key]] = []
         self.dirty: dict[Peer, None] = {}
         self.lost: list[tuple[Peer, str]] = []
+        self.hung: list[tuple[Client, str]] = []         # to be let go, by the reducer's word
         self.undialled: list[m.LinkLost | m.FeedLost] = []  # connections that could not even be begun
         self.stopping = False
+        self.unheard_ns = 0      # the end is put off until then at most, for requests that wait unread
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
         self.stalled_ns = 0      # when it was last seen to have stood still
@@ -218,7 +226,8 @@
             self.selector.unregister(listener)
 
     def linger(self) -> None:
-        """Flush, then let clients read to the end: a close with input unread would reset the connection."""
+        """Flush, then let clients read to the end: a close with input unread would reset the connection.
+        What comes after this is thrown away: nothing of it is sent on."""
         for client in self.clients.values():
             try:
                 client.backlog.write(client.sock)
@@ -226,7 +235,7 @@
             except OSError:
                 pass
         until = self.clock.now() + LINGER_NS
-        while self.clients and self.clock.now() < until:
+        while (self.clients or self.parting) and self.clock.now() < until:
             for key, _ in self.selector.select((until - self.clock.now()) / SECOND):
                 if isinstance(key.data, Client):
                     try:
@@ -283,13 +292,25 @@
         self.take_requests(turns[2], before)
         now = self.clock.now()
         while self.heap and self.heap[0][0] <= now and not self.stopping:
-            self.tell(m.Due(heapq.heappop(self.heap)[2]))
+            due = heapq.heappop(self.heap)[2]
+            if due[0] is m.Timer.LAME and self.unheard(now):
+                heapq.heappush(self.heap, (now + UNHEARD_NS // 100, self.made, due))
+            else:
+                self.tell(m.Due(due))
         if self.feed and self.feed.waits and now - self.feed.polled_ns > self.feed.late_ns:
             self.lose(self.feed, "no answer in time")
         if now - self.cleaned_ns > CLEAN_NS:
             self.clean(now)
         self.flush()
 
+    def unheard(self, now: int) -> bool:
+        """Whether a request waits unread while nothing else keeps the process: it has been taken, and gets
+        its answer before the end."""
+        if not self.reducer.ending or self.reducer.state.requests:
+            return False
+        self.unheard_ns = self.unheard_ns or now + UNHEARD_NS
+        return now < self.unheard_ns and any(map(self.unread, self.clients.values()))
+
     def look_first(self) -> None:
         """The process stood still: what the feed has told meanwhile counts as told, and what it answered was
         asked before.  So it is asked anew, with no wait, and nothing else is read, sent or let come due until
@@ -344,7 +365,7 @@
 
     def flush(self) -> None:
         """Write what this turn asked for; a failed write is an input, and may ask for more."""
-        while self.dirty or self.lost or self.undialled:
+        while self.dirty or self.lost or self.hung or self.undialled:
             dirty, self.dirty = self.dirty, {}
             for peer in dirty:
                 if peer.up and peer.sock.fileno() >= 0:
@@ -352,6 +373,9 @@
             lost, self.lost = self.lost, []
             for peer, why in lost:
                 self.lose(peer, why)
+            hung, self.hung = self.hung, []
+            for client, why in hung:
+                self.part(client, why)
             undialled, self.undialled = self.undialled, []
             for message in undialled:
                 self.tell(message)
@@ -397,7 +421,7 @@
                 client = self.clients.get(e.client)
                 if client:
                     client.leaving = True
-                    self.lost.append((client, e.why))
+                    self.hung.append((client, e.why))
             elif isinstance(e, m.Log):
                 self.events.write(self.clock.now(), e)
             elif isinstance(e, m.Reply):
@@ -444,7 +468,7 @@
             sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError as error:
             # The shares were reckoned from a limit that no longer holds: one that rests goes for it.
-            if error.errno not in EMPTY or not self.make_room():
+            if error.errno not in EMPTY or not self.free_one():
                 raise
             sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
@@ -528,7 +552,7 @@
             except BlockingIOError:
                 return False
             except OSError as error:
-                if error.errno in EMPTY and self.make_room():
+                if error.errno in EMPTY and self.free_one():
                     continue
                 self.not_accepted("accept", error)
                 if error.errno in EMPTY:
@@ -574,14 +598,20 @@
         if not after:
             if isinstance(peer, Caller):
                 self.ended(peer)
-            elif self.releasing and isinstance(peer, Client):
-                self.let_go(peer)
+            elif isinstance(peer, Client):
+                if peer.leaving:
+                    self.shut(peer)
+                elif self.releasing:
+                    self.let_go(peer)
 
     def read(self, peer: Peer) -> None:
         """A few buffers from one connection."""
         if isinstance(peer, Caller):
             self.hear(peer)
             return
+        if isinstance(peer, Client) and peer.leaving:
+            self.throw_away(peer)
+            return
         # One buffer of the loop's own: codecs copy what they keep, so it is free again when this returns, and
         # clients that do not read, whose answers hold the pool, cannot keep anyone from being read.
         buffer = self.scratch
@@ -597,7 +627,10 @@
         except BlockingIOError:
             pass
         except (front.FrontError, FeedError) as error:
-            self.lose(peer, f"malformed: {error}")
+            if isinstance(peer, Client):
+                self.part(peer, f"malformed: {error}")
+            else:
+                self.lose(peer, f"malformed: {error}")
         except OSError as error:
             self.lose(peer, error.strerror or str(error))
 
@@ -645,7 +678,7 @@
                     continue
                 if self.callers:
                     self.close(min(self.callers.values(), key=lambda c: c.opened_ns))
-                elif not self.make_room():
+                elif not self.free_one():
                     self.heed(self.mgmt, False)
                     return
                 continue
@@ -720,16 +753,60 @@
             return
         if not client.said and self.clock.now() - client.heard_ns < NEW_NS:
             return               # new: its first request is on the way
-        if not self.spare(client):
+        if self.spare(client) and not self.unread(client):  # else it is read soon, then let go
+            self.part(client)
+
+    def part(self, client: Client, why: str = "") -> None:
+        """The one way to end a client's connection.  Nothing more is taken from it and what it has open is
+        given up; what was answered is written, then our side ends, and then the client's, or its time is
+        over.  Until then what it sends is read and thrown away: a close over unread bytes resets the
+        connection, and an answer just written goes with it."""
+        if client.number not in self.clients:
             return
+        client.leaving, client.parted_ns = True, self.clock.now()
+        self.parting[client.number] = self.clients.pop(client.number)
+        self.heed(self.listener, True)
+        if why and self.complaints < COMPLAINTS:
+            self.complaints += 1
+            self.log("client.lost", f"client {client.number}: {why}",
+                     {"client": client.number, "why": why}, "warning")
+        if len(self.parting) > self.shares.parting:
+            self.close(next(iter(self.parting.values())))
+        self.shut(client)
+        self.tell(m.ClientLost(client.number))
+
+    def shut(self, client: Client) -> None:
+        """End our side of a leaving client's connection, once what was answered is written."""
+        if not client.backlog.size() and client not in self.dirty and client.sock.fileno() >= 0:
+            try:
+                client.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close(client)
+
+    def throw_away(self, client: Client) -> None:
+        """Input of a client that is leaving."""
         try:
-            if client.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-                return           # read in this turn or the next, then let go
+            for _ in range(READS):
+                got = client.sock.recv_into(self.scratch)
+                client.thrown += got
+                if not got:
+                    self.lose(client, "")
+                    return
+                if client.thrown > PART_BYTES:
+                    self.close(client)
+                    return
         except BlockingIOError:
             pass
         except OSError:
-            pass
-        self.lose(client, "")
+            self.lose(client, "")
+
+    @staticmethod
+    def unread(client: Client) -> bool:
+        """Whether something that the client sent waits to be read."""
+        try:
+            return bool(client.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
 
     def lose(self, peer: Peer, why: str, down: bool = False) -> None:
         """A connection has ended: its socket goes, and the reducer hears of it."""
@@ -741,6 +818,8 @@
                     self.log("client.lost", f"client {peer.number}: {why}",
                              {"client": peer.number, "why": why}, "warning")
                 self.tell(m.ClientLost(peer.number))
+            elif peer.number in self.parting:
+                self.close(peer)
         elif isinstance(peer, Server) and peer.number in self.servers:
             self.close(peer)
             self.tell(m.LinkLost(peer.number, why or "closed by the server", down))
@@ -757,6 +836,7 @@
         peer.sock.close()
         if isinstance(peer, Client):
             self.clients.pop(peer.number, None)
+            self.parting.pop(peer.number, None)
             if len(self.clients) < self.shares.clients:
                 self.heed(self.listener, True)
         elif isinstance(peer, Server):
@@ -774,6 +854,8 @@
         self.heed(self.mgmt, True)
         for caller in [c for c in self.callers.values() if now - c.opened_ns > CALLER_NS]:
             self.close(caller)
+        for client in [c for c in self.parting.values() if now - c.parted_ns > PART_NS]:
+            self.close(client)
         if self.releasing:
             for client in list(self.clients.values()):
                 self.let_go(client)
@@ -785,10 +867,9 @@
                     self.lose(peer, "an answer has stopped short")
             elif isinstance(peer, Client) and not peer.ready_ns:
                 silent = peer.begun_ns or (0 if peer.said else peer.heard_ns)
-                if silent and now - silent > SILENT_NS:
-                    self.lose(peer, "")
-                elif now - peer.heard_ns > IDLE_NS and self.spare(peer):
-                    self.lose(peer, "")
+                idle = now - peer.heard_ns > IDLE_NS and self.spare(peer)
+                if (silent and now - silent > SILENT_NS or idle) and not self.unread(peer):
+                    self.part(peer)
 
     def spare(self, client: Client) -> bool:
         """Whether nothing is owed on a client's connection and nothing waits to be written."""
@@ -799,9 +880,19 @@
         """One client goes for another: the longest silent that never asked, else the longest idle."""
         latest = self.clock.now() - SPARED_NS
         found = [c for c in self.clients.values() if c.heard_ns < latest and not c.ready_ns and self.spare(c)]
-        if found:
-            self.lose(min(found, key=lambda c: (c.said, c.heard_ns)), "")
-        return bool(found)
+        for client in sorted(found, key=lambda c: (c.said, c.heard_ns)):
+            if not self.unread(client):
+                self.part(client)
+                return True
+        return False
+
+    def free_one(self) -> bool:
+        """A descriptor at once: of a client whose connection we have ended, else of one that rests."""
+        if self.parting or self.make_room():
+            for client in list(self.parting.values())[:1]:
+                self.close(client)
+            return True
+        return False
 
     def log(self, event: str, text: str, fields: dict[str, object], level: str = "info") -> None:
         self.events.write(self.clock.now(), m.Log(event, text, level, fields))
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,178 @@
+"""Ends of clients' connections: what comes in the very moment of a close is neither lost nor sent on."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import unittest
+
+from turns import MS, SECOND, Turns, call, done
+
+from kelpcroft.net.loop import IDLE_NS, LINGER_NS, PART_BYTES, PART_NS, SILENT_NS
+
+
+class Closing(unittest.TestCase):
+    def test_a_request_that_waits_unread_keeps_its_connection(self) -> None:
+        """It had come, and the selector had not told yet: the close for idleness reset the connection."""
+        t = Turns(self)
+        client, cache = t.served()
+        t.selector.hidden.add(t.socket_of(client))
+        client.send(call(2))
+        t.turn(IDLE_NS + SECOND)
+        self.assertEqual(len(t.loop.clients), 1)
+        t.selector.hidden.clear()
+        t.until(lambda: len(cache.pulls()) == 2, "it is sent on")
+        cache.send(done(cache.pulls()[1]))
+        t.until(lambda: len(client.answers()) == 2, "it is answered")
+
+    def test_a_request_that_crosses_the_close_is_not_sent_on(self) -> None:
+        """Our side has ended: the client sends it again on a new connection.  A close reset the connection,
+        with whatever the client had not read yet."""
+        t = Turns(self)
+        client, cache = t.served()
+        t.turn(IDLE_NS + SECOND)
+        self.assertEqual((len(t.loop.clients), len(t.loop.parting)), (0, 1))
+        client.send(call(2))
+        t.turn(turns=3)
+        client.read()
+        self.assertTrue(client.ended and not client.reset)
+        self.assertEqual(len(cache.pulls()), 1)
+        client.close()
+        t.until(lambda: not t.loop.parting, "the client's close ends it")
+
+    def test_a_client_that_never_ends_goes_after_its_time_or_its_bytes(self) -> None:
+        t = Turns(self)
+        rests, floods = t.client(), t.client()
+        t.turn(SILENT_NS + 200 * MS)
+        self.assertEqual(len(t.loop.parting), 2)
+
+        def flood() -> bool:
+            try:
+                floods.sock.send(b"\x00" * 65_536)
+            except BlockingIOError:
+                pass
+            except OSError:
+                return True
+            return len(t.loop.parting) == 1
+        t.until(flood, f"it is over {PART_BYTES} bytes")
+        self.assertFalse(rests.reset)
+        t.turn(PART_NS + 200 * MS)
+        self.assertEqual(t.loop.parting, {})
+
+    def test_those_that_are_let_go_have_a_bound(self) -> None:
+        t = Turns(self, limits={"sockets": 64})
+        for _ in range(t.loop.shares.parting + 3):
+            t.client().send(b"\xc1")
+        t.turn(turns=3)
+        self.assertEqual((len(t.loop.clients), len(t.loop.parting)), (0, t.loop.shares.parting))
+
+    def test_an_answer_on_its_way_outlives_what_is_malformed_behind_it(self) -> None:
+        """The close over unread bytes reset the connection, and the system threw the answer away unread."""
+        t = Turns(self)
+        client = t.client()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        client.send(call(1))
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        body = b"x" * 200_000
+        rest = [done(cache.pulls()[0], body)]
+
+        def push() -> bool:
+            try:
+                rest[0] = rest[0][cache.sock.send(rest[0]):]
+            except BlockingIOError:
+                pass
+            return not rest[0]
+        t.until(push, "the answer is on its way")
+        t.until(lambda: not t.loop.reducer.state.requests, "it is answered")
+        client.send(b"\xc1" + b"\x00" * 10_000)
+        t.until(lambda: t.loop.parting, "it is let go")
+        client.send(b"\x00" * 10_000)
+        t.until(lambda: client.read() and client.ended, "all of it and the end")
+        self.assertFalse(client.reset)
+        self.assertIn(body, client.got)
+
+    def test_one_line_names_a_bad_client(self) -> None:
+        t = Turns(self)
+        client = t.client()
+        client.send(b"\xc1")
+        t.until(lambda: client.read() or client.ended, "it is let go")
+        told = [log for log in t.logged if log.event == "client.lost"]
+        self.assertEqual(len(told), 1)
+        self.assertIn("malformed", told[0].text)
+
+
+class Ending(unittest.TestCase):
+    def ending(self, t: Turns) -> None:
+        t.loop.on_signals(bytes([signal.SIGTERM]))
+
+    def test_a_request_that_waits_unread_puts_the_end_off(self) -> None:
+        """A router short of CPU ended with requests in its sockets: nothing was open, as nothing was read."""
+        t = Turns(self)
+        client, cache = t.served()
+        self.ending(t)
+        t.selector.hidden.add(t.socket_of(client))
+        client.send(call(2))
+        t.turn(900 * MS)
+        self.assertFalse(t.loop.stopping)
+        t.selector.hidden.clear()
+        t.until(lambda: len(cache.pulls()) == 2, "it is sent on")
+        cache.send(done(cache.pulls()[1]))
+        t.until(lambda: len(client.answers()) == 2, "it is answered")
+        t.turn(100 * MS)
+        self.assertTrue(t.loop.stopping)
+
+    def test_the_end_is_not_put_off_for_ever(self) -> None:
+        t = Turns(self)
+        client = t.client()
+        self.ending(t)
+        t.selector.hidden.add(t.socket_of(client))
+        client.send(call(1))
+        t.turn(3 * SECOND)
+        self.assertTrue(t.loop.stopping)
+
+    def test_who_waits_to_be_accepted_is_served_first(self) -> None:
+        """The listening socket closed over a full queue: each in it was reset with its request unread."""
+        t = Turns(self)
+        _, cache = t.served()
+        assert t.loop.listener is not None
+        t.selector.hidden.add(t.loop.listener)
+        waits = [socket.create_connection(t.address) for _ in range(3)]
+        for n, sock in enumerate(waits):
+            self.addCleanup(sock.close)
+            sock.sendall(call(1, trace=f"{n + 7:016x}"))
+        self.ending(t)
+        t.turn(600 * MS)
+        self.assertIsNone(t.loop.listener)
+        t.until(lambda: len(cache.pulls()) == 4, "all are sent on")
+
+    def test_a_request_behind_the_last_look_is_not_sent_on(self) -> None:
+        """Read after the shutdown: the client sees a clean end without an answer, and sends it again."""
+        t = Turns(self)
+        client, cache = t.served()
+        self.ending(t)
+        t.turn(900 * MS)
+        self.assertTrue(t.loop.stopping)
+        client.send(call(2))
+        t.tick_ns = LINGER_NS // 20
+        t.loop.linger()
+        client.read()
+        self.assertTrue(client.ended and not client.reset)
+        self.assertEqual((len(cache.pulls()), len(client.answers())), (1, 1))
+
+    def test_a_second_signal_changes_nothing(self) -> None:
+        t = Turns(self)
+        client = t.client()
+        client.send(call(1))
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        self.ending(t)
+        self.ending(t)
+        t.turn(900 * MS)
+        self.ending(t)
+        self.assertFalse(t.loop.stopping, "one is open")
+        cache.send(done(cache.pulls()[0]))
+        t.until(client.answers, "it is answered")
+        t.turn(100 * MS)
+        self.assertTrue(t.loop.stopping)
+        self.assertEqual(len([log for log in t.logged if log.event == "router.ending"]), 1)
--- a/tests/turns.py
+++ b/tests/turns.py
@@ -104,11 +104,11 @@
 
     def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = ("cache1", "parent", "origin"),
                  feed: bool = True, orders: dict[str, Any] | None = None,
-                 limits: dict[str, Any] | None = None, settings: dict[str, Any] | None = None,
+                 allowed: dict[str, Any] | None = None, settings: dict[str, Any] | None = None,
                  **more: Any) -> None:
         """``feed``: the list service listens.  ``orders``: what is otherwise of the class of orders;
-        ``limits``: of ``settings.limits``; ``settings`` and ``more``: of the settings and the whole."""
-        self.now = NOW
+        ``allowed``: of ``settings.limits``; ``settings`` and ``more``: of the settings and the whole."""
+        self.now, self.tick_ns = NOW, 0          # the time, and what each look at it adds
         self.listeners = {n: socket.create_server(("127.0.0.1", 0)) for n in (*only, "feed")}
         for sock in self.listeners.values():
             sock.setblocking(False)
@@ -121,11 +121,11 @@
         raw = copy.deepcopy({**EXAMPLE, "feed": feed_at, "known": {"n": 1, "events": [
             {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}]}, **more})
         raw["settings"].update(settings or {})
-        raw["settings"]["limits"].update(limits or {})
+        raw["settings"]["limits"].update(allowed or {})
         raw["settings"]["classes"][1].update(orders or {})
         self.raw = raw
         self.logged: list[m.Log] = []
-        self.loop = Loop(parse(raw, {}), Clock(lambda: self.now))
+        self.loop = Loop(parse(raw, {}), Clock(self.clock))
         self.loop.selector.close()
         self.loop.selector = self.selector = Unblocked()
         self.loop.events.write = lambda now, log: self.logged.append(log)  # type: ignore[method-assign]
@@ -136,6 +136,10 @@
         case.addCleanup(self.end)
         self.case = case
 
+    def clock(self) -> int:
+        self.now += self.tick_ns
+        return self.now
+
     def at(self, name: str) -> str:
         return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
 
@@ -175,6 +179,22 @@
                                for c in self.loop.clients.values()), "a client is taken")
         return peer
 
+    def socket_of(self, peer: Peer) -> socket.socket:
+        """The router's end of a client's connection."""
+        here = peer.sock.getsockname()
+        (found,) = [c.sock for c in self.loop.clients.values() if c.sock.getpeername() == here]
+        return found
+
+    def served(self, number: int = 1) -> tuple[Peer, Peer]:
+        """A client that was answered by a cache, and that cache's end of the connection."""
+        client = self.client()
+        client.send(call(number))
+        cache = self.taken("cache1")
+        self.until(cache.pulls, "the attempt comes")
+        cache.send(done(cache.pulls()[-1]))
+        self.until(client.answers, "it is answered")
+        return client, cache
+
     def taken(self, name: str) -> Peer:
         """The next connection of the router to a server, with its first byte or standing."""
         found: list[socket.socket] = []
