Who has left is heard before anything is sent for them, and what waited is not sent on

Seen, on real connections: a cache's LACK and its client's close in one turn: the next attempt was dialled, then the close was read. A close during a long turn: the same. A request with its close behind it, read half a second late: sent, then given up. An attempt that waited for its connection, its client gone, where may_cancel is false: sent when the connection stood. Requests read in one batch were taken whatever came behind them. Ruled out: the module; it gives up at ClientGone, and cancels where that is allowed. At fault: the order of Loop.turn (servers before clients), Loop.read (stops at a short read, the end of the stream unread), Attempts.pull and redial (look at no final answer). Change: clients with something open are read first, and every 25 ms of a long turn, after what was decided has gone out; their closes and cancels count at once, their requests wait, and what they wait is taken off their patience; what waited over 50 ms unread is read to the end. Reducer.gone ends what waits for a connection.

--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -121,6 +121,8 @@
     def redial(self, attempt: Attempt) -> bool:
         """Whether an attempt waits for another connection now.  One that was reset as soon as it stood tells
         nothing of the server, and nothing was sent on it."""
+        if attempt.request.answered:
+            return False
         attempt.dials += 1
         link = self.link_for(attempt.fetch.cache, attempt.request) if attempt.dials < DIALS_MOST else None
         if link:
@@ -178,6 +180,13 @@
         """How long a connection may be quiet: well past the usual time of an answer, as TCP reckons it."""
         return max(QUIET_LEAST_NS, int(self.took_ns + QUIET_DEVS * self.took_dev_ns))
 
+    def forsake(self, request: Request) -> None:
+        """What still waits for its connection, of a request that is over, ends now."""
+        for index in range(request.tries):
+            attempt = self.state.attempts.get(self.state.tries.get((request.id, index), 0))
+            if attempt and not attempt.sent:
+                self.ended(attempt, Outcome.MOOT)
+
     def recall(self, stale: Callable[[Attempt], bool]) -> None:
         """Rules 3 and 5: what still waits for its connection was chosen before this news; the module chooses
         anew, as it would otherwise be sent up to a dial's time after the news."""
@@ -325,6 +334,10 @@
     def pull(self, attempt: Attempt) -> None:
         """Write an attempt.  Its time limit is what is left of it now."""
         f, c = attempt.fetch, attempt.request.call
+        if attempt.request.answered:
+            # Its client has left, or has its answer: what waited for its connection is not sent on.
+            self.ended(attempt, Outcome.MOOT)
+            return
         cls = self.state.classes.get(c.cls)
         if c.nonce and cls is not None and cls.effect is not api.Effect.SAFE:
             ran = self.state.keys.find(self.state.now, c.cls, c.nonce)
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -15,7 +15,7 @@
 from kelpcroft.core.members import Members
 from kelpcroft.core.requests import Requests
 from kelpcroft.core.service import Mode, Service
-from kelpcroft.core.state import MS, SECOND, State
+from kelpcroft.core.state import MS, SECOND, Request, State
 from kelpcroft.core.tuning import Tuning
 from kelpcroft.deployment.lacks import lacks
 from kelpcroft.invariants import broken, counts, holds
@@ -91,7 +91,7 @@
             request = self.state.calls.get(message.client, {}).get(message.call)
             if request:
                 self.state.tally["cancelled by client"] += 1
-                self.requests.gone(request)
+                self.gone(request)
         elif isinstance(message, m.AskHealth):
             self.state.effects.append(m.TellHealth(message.client, message.call, not self.unready()))
         elif isinstance(message, m.Control):
@@ -103,7 +103,7 @@
         elif isinstance(message, m.ClientLost):
             self.clients.discard(message.client)
             for request in list(self.state.calls.get(message.client, {}).values()):
-                self.requests.gone(request)
+                self.gone(request)
             self.state.calls.pop(message.client, None)
         elif isinstance(message, m.LinkUp):
             self.attempts.on_up(message.link)
@@ -132,6 +132,11 @@
         self.drive()
         return self.state.effects
 
+    def gone(self, request: Request) -> None:
+        """A client has stopped waiting: nothing further begins, wherever calling off is allowed or not."""
+        self.requests.gone(request)
+        self.attempts.forsake(request)
+
     def on_due(self, timer: Timer, number: int, more: int) -> None:
         if timer is Timer.ATTEMPT:
             attempt = self.state.attempts.get(number)
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -9,7 +9,9 @@
 import signal
 import socket
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 
 from kelpcroft import messages as m
@@ -29,7 +31,11 @@
 POLL_LATE_NS = 400_000_000   # a poll that is out for so long past its wait is lost: the link may be cut
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
 RULES_NS = 3_000_000         # the operator's file is read for so long in one turn
-CLIENTS_NS = 20_000_000      # new requests are read for so long in one turn
+CLIENTS_NS = 20_000_000      # new requests are taken for so long in one turn
+PACE_NS = 25_000_000         # in a long turn, what is decided goes out and leavers are heard so often
+GONE_NS = 50_000_000         # what waited so long unread may be from a client that has left: read to the end
+LATE_NS = 1_000_000          # from so much on, what a request waited here is taken off its patience
+UNTAKEN_MOST = 64            # messages of one client that are read and not taken, before it is read on
 SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
 IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
 SPARED_NS = SECOND // 10     # when clients are too many, one that was heard so lately does not go for another
@@ -88,6 +94,7 @@
         self.said = False        # a whole message has come
         self.heard_ns = now      # when the last one did, or else the connection
         self.begun_ns = 0        # when the message began of which a part has come
+        self.untaken: deque[tuple[int, m.Call | m.AskHealth]] = deque()  # read, and when; not told yet
         self.leaving = False     # nothing more is taken from it, and nothing more is owed
         self.parted_ns = 0       # since when its connection is being ended
         self.thrown = 0          # bytes read since then, and thrown away
@@ -159,6 +166,8 @@
         self.hung: list[tuple[Client, str]] = []         # to be let go, by the reducer's word
         self.undialled: list[m.LinkLost | m.FeedLost] = []  # connections that could not even be begun
         self.stopping = False
+        self.untaken: dict[Client, None] = {}            # clients with something read and not told
+        self.paced_ns = 0        # when leavers were last heard
         self.unheard_ns = 0      # the end is put off until then at most, for requests that wait unread
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
@@ -260,6 +269,8 @@
             wait = 0.0
         if self.blind_ns:
             wait = min(wait, BLIND_NS / SECOND / 8)
+        if self.untaken:
+            wait = 0.0
         ready = self.selector.select(min(wait, 1.0))
         before, self.selected_ns = self.selected_ns, self.clock.now()
         if now - before > STALL_NS or self.selected_ns - now - int(min(wait, 1.0) * SECOND) > STALL_NS:
@@ -287,8 +298,12 @@
             self.flush()
             return
         self.blind_ns = 0
+        # Who has left is heard before anything that could be sent for them.
+        self.paced_ns = self.clock.now()
+        self.hear_leavers(turns[2], before)
         for peer, events in turns[1]:
             self.serve(peer, events)
+            self.pace()
         self.take_requests(turns[2], before)
         now = self.clock.now()
         while self.heap and self.heap[0][0] <= now and not self.stopping:
@@ -297,6 +312,7 @@
                 heapq.heappush(self.heap, (now + UNHEARD_NS // 100, self.made, due))
             else:
                 self.tell(m.Due(due))
+                self.pace()
         if self.feed and self.feed.waits and now - self.feed.polled_ns > self.feed.late_ns:
             self.lose(self.feed, "no answer in time")
         if now - self.cleaned_ns > CLEAN_NS:
@@ -309,7 +325,7 @@
         if not self.reducer.ending or self.reducer.state.requests:
             return False
         self.unheard_ns = self.unheard_ns or now + UNHEARD_NS
-        return now < self.unheard_ns and any(map(self.unread, self.clients.values()))
+        return now < self.unheard_ns and (bool(self.untaken) or any(map(self.unread, self.clients.values())))
 
     def look_first(self) -> None:
         """The process stood still: what the feed has told meanwhile counts as told, and what it answered was
@@ -348,20 +364,60 @@
         if events & selectors.EVENT_READ and peer.sock.fileno() >= 0:
             self.read(peer)
 
+    def hear_leavers(self, ready: list[tuple[Peer, int]], before: int) -> None:
+        """Read clients that have something open, before anything is sent for them: a close or a cancel counts
+        at once, requests wait for ``take_requests``.  Closes used to wait behind answers, time-outs and
+        others' requests, and a router short of CPU went on for clients that were long gone."""
+        for at, (peer, events) in enumerate(ready):
+            if (isinstance(peer, Client) and events & selectors.EVENT_READ and peer.sock.fileno() >= 0
+                    and peer.number in self.reducer.state.calls and len(peer.untaken) < UNTAKEN_MOST):
+                self.waited_ns = self.clock.now() - (peer.ready_ns or before)
+                peer.ready_ns = 0
+                self.read(peer)
+                ready[at] = peer, events & ~selectors.EVENT_READ
+
+    def pace(self) -> None:
+        """Within a long turn: what is decided goes out, and who has left meanwhile is heard."""
+        now = self.clock.now()
+        if now - self.paced_ns < PACE_NS:
+            return
+        self.flush()
+        looked = self.selector.select(0)
+        self.hear_leavers([(key.data, events) for key, events in looked if isinstance(key.data, Client)],
+                          self.paced_ns)
+        self.paced_ns = now
+
     def take_requests(self, ready: list[tuple[Peer, int]], before: int) -> None:
         """New requests, for a bounded time: the rest wait where they are, so that a router short of CPU still
         hears the feed and passes answers on.  What has waited may have come since the last look before."""
         until = self.selected_ns + CLIENTS_NS
-        for at, (peer, events) in enumerate(ready):
-            if not peer.ready_ns:
+        left = [(peer, 0) for peer in self.untaken]
+        for at, (peer, events) in enumerate(left + ready):
+            if events and not peer.ready_ns:
                 peer.ready_ns = before
             if self.clock.now() > until:
-                for rest, _ in ready[at + 1:]:
-                    rest.ready_ns = rest.ready_ns or before
+                for rest, waits in ready[max(0, at + 1 - len(left)):]:
+                    rest.ready_ns = rest.ready_ns or (before if waits else 0)
                 return
-            self.waited_ns = self.clock.now() - peer.ready_ns
-            peer.ready_ns = 0
-            self.serve(peer, events)
+            if events:
+                self.waited_ns = self.clock.now() - peer.ready_ns
+                peer.ready_ns = 0
+                self.serve(peer, events)
+            if isinstance(peer, Client):
+                self.take(peer)
+            self.pace()
+
+    def take(self, client: Client) -> None:
+        """Tell what a client has sent, in its order."""
+        while client.untaken and not client.leaving:
+            read_ns, message = client.untaken.popleft()
+            late = self.clock.now() - read_ns
+            if late > LATE_NS and isinstance(message, m.Call):
+                message = replace(message, patience_ns=message.patience_ns - late,
+                                  waited_ns=message.waited_ns + late)
+            self.tell(message)
+        client.untaken.clear()
+        self.untaken.pop(client, None)
 
     def flush(self) -> None:
         """Write what this turn asked for; a failed write is an input, and may ask for more."""
@@ -622,7 +678,8 @@
                     self.lose(peer, "")
                     return
                 self.take_in(peer, memoryview(buffer)[:got])
-                if got < SIZE or peer.sock.fileno() < 0:
+                late = isinstance(peer, Client) and self.waited_ns > GONE_NS
+                if got < SIZE and not late or peer.sock.fileno() < 0:
                     return
         except BlockingIOError:
             pass
@@ -657,9 +714,15 @@
             elif not peer.begun_ns:
                 peer.begun_ns = now
             for message in messages:
-                if peer.leaving:
-                    return
-                self.tell(message)
+                if isinstance(message, m.CallOff):
+                    # One that was not told yet is never sent on, and nothing is owed.
+                    kept = [one for one in peer.untaken if one[1].call != message.call]
+                    if len(kept) == len(peer.untaken):
+                        self.tell(message)
+                    peer.untaken = deque(kept)
+                else:
+                    peer.untaken.append((now, message))
+                    self.untaken[peer] = None
 
     # The control address ------------------------------------------------------------------------------------
 
@@ -764,6 +827,7 @@
         if client.number not in self.clients:
             return
         client.leaving, client.parted_ns = True, self.clock.now()
+        self.untaken.pop(client, None)
         self.parting[client.number] = self.clients.pop(client.number)
         self.heed(self.listener, True)
         if why and self.complaints < COMPLAINTS:
@@ -835,6 +899,8 @@
         self.dirty.pop(peer, None)
         peer.sock.close()
         if isinstance(peer, Client):
+            self.untaken.pop(peer, None)
+            peer.untaken.clear()
             self.clients.pop(peer.number, None)
             self.parting.pop(peer.number, None)
             if len(self.clients) < self.shares.clients:
@@ -873,7 +939,7 @@
 
     def spare(self, client: Client) -> bool:
         """Whether nothing is owed on a client's connection and nothing waits to be written."""
-        waits = client.backlog.size() or client in self.dirty
+        waits = client.backlog.size() or client in self.dirty or client.untaken
         return not waits and client.number not in self.reducer.state.calls
 
     def make_room(self) -> bool:
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,143 @@
+"""A client that closed or cancelled is gone: no attempt, first or further, begins for it."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+from turns import MS, SECOND, Peer, Turns, call, done
+
+from kelpcroft.net.loop import CLIENTS_NS, PACE_NS, Server
+from kelpcroft.net.loop import Peer as Ours
+
+
+def cancel(number: int) -> bytes:
+    return bytes(msgpack.packb([2, "cancel", [number]]))
+
+
+class Gone(unittest.TestCase):
+    def asked(self, t: Turns) -> tuple[Peer, Peer]:
+        """A client whose attempt is out at the cache."""
+        client = t.client()
+        client.send(call(1))
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        return client, cache
+
+    def nothing_more(self, t: Turns, cache: Peer) -> None:
+        """Only the first attempt was ever sent, at whichever server."""
+        t.turn(SECOND)
+        self.assertEqual(len(cache.pulls()), 1)
+        for name in ("cache1", "parent", "origin"):
+            t.none(name)
+
+    def test_no_further_attempt_behind_a_close_in_the_same_turn(self) -> None:
+        """Servers were read before clients: the answer that failed had the next attempt sent, and then the
+        close was read."""
+        for last in (b"", cancel(1)):
+            with self.subTest(last=last):
+                t = Turns(self)
+                client, cache = self.asked(t)
+                client.send(last) if last else client.close()
+                cache.send(done(cache.pulls()[0], b"", b"LACK", b"-"))
+                self.nothing_more(t, cache)
+
+    def test_no_further_attempt_behind_a_close_in_a_long_turn(self) -> None:
+        """The close comes while other servers' answers are read."""
+        t = Turns(self, only=("cache1", "cache2", "parent", "origin"))
+        client, other = t.client(), t.client()
+        for n in range(1, 9):
+            (client if n == 1 else other).send(call(n, entity=f"{n:016x}"))
+        caches = [t.taken("cache1"), t.taken("cache2")]
+        t.until(lambda: sum(len(c.pulls()) for c in caches) == 8, "all are out")
+        (mine,) = [c for c in caches if f"{1:016x}" in c.pulls()]
+        serve, read = t.loop.serve, []
+
+        def slow(peer: Ours, events: int) -> None:
+            if isinstance(peer, Server) and not read:
+                client.close()
+                t.now += PACE_NS
+            read.append(peer)
+            serve(peer, events)
+        t.loop.serve = slow  # type: ignore[method-assign]
+        (late,) = [s for s in t.loop.servers.values()
+                   if s.sock.getpeername() == mine.sock.getsockname()]
+        (early,) = [s for s in t.loop.servers.values() if s is not late]
+        for cache in caches:
+            for id in cache.pulls():
+                cache.send(done(id, b"", b"LACK", b"-") if id == f"{1:016x}" else done(id))
+        look = t.selector.select
+
+        def ordered(timeout: float | None = None) -> list:  # type: ignore[type-arg]
+            return sorted(look(timeout), key=lambda found: found[0].data is late)
+        t.selector.select = ordered  # type: ignore[method-assign]
+        t.until(lambda: len(other.answers()) == 7, "the others are answered")
+        self.assertIs(read[0], early)
+        t.turn(SECOND)
+        self.assertEqual(sum(len(c.pulls()) for c in caches), 8)
+        for name in ("cache1", "cache2", "parent", "origin"):
+            t.none(name)
+
+    def test_a_request_with_its_close_unread_is_not_sent_on(self) -> None:
+        """A router short of CPU read a request half a second late, sent it, and found the close behind it."""
+        t = Turns(self)
+        client = t.client()
+        t.selector.hidden.add(t.socket_of(client))
+        client.send(call(1))
+        client.close()
+        t.turn(500 * MS)
+        t.selector.hidden.clear()
+        t.turn(500 * MS)
+        for name in ("cache1", "parent", "origin"):
+            t.none(name)
+
+    def test_what_waits_for_its_connection_is_not_sent_on(self) -> None:
+        """Where attempts may not be called off, one that waited went out when its connection stood."""
+        for may in (False, True):
+            with self.subTest(may_cancel=may):
+                t = Turns(self, allowed={"may_cancel": may})
+                client = t.client()
+                watch = t.loop.watch
+
+                def hide(peer: Ours, events: int, t: Turns = t,  # type: ignore[no-untyped-def]
+                         watch=watch) -> None:
+                    if isinstance(peer, Server):
+                        t.selector.hidden.add(peer.sock)
+                    watch(peer, events)
+                t.loop.watch = hide  # type: ignore[method-assign]
+                client.send(call(1))
+                cache = t.taken("cache1")
+                client.send(cancel(1))
+                t.until(lambda t=t: not t.loop.reducer.state.requests, "it is gone")
+                t.selector.hidden.clear()
+                t.until(lambda t=t: all(s.up for s in t.loop.servers.values()), "the connection stands")
+                t.turn(turns=3)
+                self.assertEqual(cache.read(), b"")
+                self.assertEqual(t.loop.reducer.state.attempts, {})
+
+    def test_a_request_that_is_read_and_not_taken_can_be_cancelled(self) -> None:
+        t = Turns(self)
+        client, cache = self.asked(t)
+        t.tick_ns = 2 * CLIENTS_NS               # every look at the clock: nothing is taken in its turn
+        client.send(call(2))
+        t.until(lambda: t.loop.untaken, "it is read")
+        client.send(cancel(2))
+        t.until(lambda: not any(c.untaken for c in t.loop.clients.values()), "it is cancelled")
+        t.tick_ns = 0
+        t.turn(200 * MS)
+        self.assertEqual((len(cache.pulls()), t.loop.reducer.state.tally["taken"]), (1, 1))
+        client.send(call(3))
+        t.until(lambda: t.loop.reducer.state.tally["taken"] == 2, "later ones are taken")
+
+    def test_time_between_reading_and_taking_counts(self) -> None:
+        """Patience counts from the client's send, wherever the request waits."""
+        t = Turns(self)
+        client, cache = self.asked(t)
+        (ours,) = t.loop.clients.values()
+        client.send(call(2, patience=900))
+        t.loop.hear_leavers([(ours, 1)], t.now)
+        self.assertEqual(len(ours.untaken), 1)
+        t.now += 200 * MS
+        t.loop.take(ours)
+        (_, second) = t.loop.reducer.state.requests.values()
+        self.assertEqual(second.call.patience_ns, 700 * MS)
