What was not all written never ran, and a rested connection is looked at before a write

Seen, on real connections: an order written to an idle connection that its server had ended in the same turn came back as a lost connection that may have run, and failed; so did one of 48 KB of which a part was written; an order sent on an idle connection with half a line on it was lost with the end of the stream behind it; KEEP was passed on for a copy that the client had not named, or for another. Ruled out: the module, which must not repeat what may have run; the servers' idle time, before which we close. At fault: loop.lose, which told nothing of what was left unwritten; loop.flush, which wrote without a look; Links.takes, which saw no half answers; Attempts.on_answer, which believed every KEEP. Change: LinkLost names attempts not all written, which go out anew as if they had waited; a connection that rested 20 ms is read before it is written; LinkHalf keeps an idle connection with half an answer unused; a KEEP must name the client's copy, or it is an error.

--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -52,6 +52,11 @@
             return
         attempt = self.state.attempts[number]
         request = attempt.request
+        if a.same and not (request.call.tag and a.named.strip('"') == request.call.tag):
+            # It calls a copy current that the client did not name, or another: that is no answer to this.
+            self.state.tally["copies not named"] += 1
+            self.ended(attempt, Outcome.ERROR, a.note, a.waited_ns, a.report)
+            return
         took = self.state.now - attempt.began_ns
         self.took_dev_ns += TOOK_GAIN * (abs(took - self.took_ns) - self.took_dev_ns)
         self.took_ns += TOOK_GAIN * (took - self.took_ns)
@@ -110,13 +115,21 @@
             self.state.tally["no place"] += 1
             self.state.links.no_place(link.server, self.state.now)
         waits = Outcome.CONNECT_FAILED if lost.down and not crowded else Outcome.MOOT
-        for numbers, outcome in ((link.waiting, waits), (link.out, Outcome.RESET)):
-            for n in list(numbers.values()):
-                probe = self.state.probes.pop(n, None)
+        for numbers, lost_as in ((link.waiting, waits), (link.out, Outcome.RESET)):
+            for id, n in list(numbers.items()):
+                probe, outcome = self.state.probes.pop(n, None), lost_as
                 if probe:
                     self.probed(probe, outcome)
-                elif outcome is not Outcome.MOOT or not self.redial(self.state.attempts[n]):
-                    self.ended(self.state.attempts[n], outcome)
+                    continue
+                attempt = self.state.attempts[n]
+                if id in lost.unsent and attempt.sent:
+                    # Not all of it was written: nobody can have run it, and it goes out as if it had waited.
+                    attempt.sent, outcome = False, Outcome.MOOT
+                    self.state.tally["never written"] += 1
+                    if attempt.request.call.nonce:
+                        self.state.keys.not_run(attempt.request.call.cls, attempt.request.call.nonce, n)
+                if outcome is not Outcome.MOOT or not self.redial(attempt):
+                    self.ended(attempt, outcome)
 
     def redial(self, attempt: Attempt) -> bool:
         """Whether an attempt waits for another connection now.  One that was reset as soon as it stood tells
--- a/kelpcroft/core/links.py
+++ b/kelpcroft/core/links.py
@@ -29,6 +29,7 @@
     asked_ns: int = 0                    # when it was last asked whether it answers at all
     watched: bool = False                                    # a wake-up looks whether it has gone quiet
     alone: bool = False                                      # carries one that must not fail with others
+    half: bool = False                                       # part of an answer has come
 
     def load(self) -> int:
         """Attempts that it carries."""
@@ -36,9 +37,11 @@
 
     def takes(self, id: str, most: int, alone: bool) -> bool:
         """Whether one more may go out here.  An id that was given up or answered here must not be used here
-        again: an answer that crossed the KILL, or a second copy, would be taken for the second attempt's."""
+        again: an answer that crossed the KILL, or a second copy, would be taken for the second attempt's.  On
+        one that is idle with half an answer, nothing goes out: the rest may never come."""
         load = self.load()
         return (not self.shunned and load < most and not (load and (alone or self.alone))
+                and not (self.half and not load)
                 and id not in self.waiting and id not in self.out and id not in self.spent)
 
 
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -109,6 +109,10 @@
             self.attempts.on_up(message.link)
         elif isinstance(message, m.LinkLost):
             self.attempts.on_lost(message)
+        elif isinstance(message, m.LinkHalf):
+            link = self.state.links.by_number.get(message.link)
+            if link:
+                link.half = message.half
         elif isinstance(message, m.News):
             self.members.on_news(message)
         elif isinstance(message, m.FeedLost):
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -92,11 +92,21 @@
 @message
 class LinkLost:
     """A connection to a server could not be had, or has ended.  Only ``down`` tells that nobody is there: a
-    connection is also reset by what lies between, and closed by us when an answer on it cannot be read."""
+    connection is also reset by what lies between, and closed by us when an answer on it cannot be read.
+    ``unsent``: ids of attempts of which not all bytes were written, so that they never ran."""
 
     link: int
     why: str
     down: bool = False
+    unsent: frozenset[str] = frozenset()
+
+
+@message
+class LinkHalf:
+    """Part of an answer has come on a connection to a server, or the rest of it."""
+
+    link: int
+    half: bool
 
 
 @message
@@ -111,6 +121,7 @@
     report: dict[str, float]
     same: bool               # the client's own copy is the one; no bytes
     body: Body
+    named: str = ""          # of KEEP: the tag of the copy that is the one
 
 
 @message
@@ -266,8 +277,8 @@
     digest: str = ""         # of its bytes
 
 
-Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, Answer, News, FeedLost,
-              Listening, Due, Terminate, Reload, Rules, Control, Handover, Ended, Identity, Stalled]
+Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, LinkHalf, Answer, News,
+              FeedLost, Listening, Due, Terminate, Reload, Rules, Control, Handover, Ended, Identity, Stalled]
 
 
 # Effects --------------------------------------------------------------------------------------------------
--- a/kelpcroft/net/buffers.py
+++ b/kelpcroft/net/buffers.py
@@ -42,6 +42,7 @@
         self.pieces: list[Body] = []             # of this turn
         self.stored: deque[bytearray] = deque()  # pooled: the first from ``start``, the last up to ``end``
         self.start = self.end = 0
+        self.sent = 0                            # bytes that the system has taken, in all
 
     def add(self, pieces: list[Body] | tuple[Body, ...]) -> None:
         """More bytes to write."""
@@ -61,6 +62,7 @@
             except BlockingIOError:
                 return self.store(0, 0)
             self.start += sent
+            self.sent += sent
             if sent < len(view):
                 return self.store(0, 0)
             self.pool.give(self.stored.popleft())
@@ -72,6 +74,7 @@
                 sent = sock.sendmsg(batch)
             except BlockingIOError:
                 return self.store(at, 0)
+            self.sent += sent
             for piece in batch:
                 if sent < len(piece):
                     return self.store(at, sent)
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -27,6 +27,7 @@
 
 SECOND = 1_000_000_000
 READS = 2                    # buffers read from one connection before the others have their turn
+RESTED_NS = 20_000_000       # a server's connection is looked at before a write after so long a rest
 ACCEPTS = 64                 # connections accepted before the others have their turn
 POLL_LATE_NS = 400_000_000   # a poll that is out for so long past its wait is lost: the link may be cut
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
@@ -109,6 +110,9 @@
         super().__init__(sock, pool, now)
         self.number, self.codec = number, shelf.ShelfCodec(number)
         self.read_ns = now       # when bytes last came
+        self.put = 0             # bytes handed over to be written, in all
+        self.pulls: deque[tuple[int, str]] = deque()  # attempts not all written: up to which byte, and id
+        self.half = False        # part of an answer has come
 
 
 class Caller(Peer):
@@ -424,6 +428,10 @@
         while self.dirty or self.lost or self.hung or self.undialled:
             dirty, self.dirty = self.dirty, {}
             for peer in dirty:
+                if isinstance(peer, Server) and peer.pulls and peer.up and peer.sock.fileno() >= 0:
+                    # One that rested may have been ended by its server since the selector was asked.
+                    if self.clock.now() - max(peer.read_ns, peer.moved_ns) > RESTED_NS:
+                        self.read(peer)
                 if peer.up and peer.sock.fileno() >= 0:
                     self.write(peer)
             lost, self.lost = self.lost, []
@@ -450,7 +458,7 @@
             elif isinstance(e, m.Serve):
                 self.answer(e.client, front.served(e.call, e.body, e.same))
             elif isinstance(e, m.Pull):
-                self.send(e.link, shelf.pull(e))
+                self.send(e.link, shelf.pull(e), e.id)
             elif isinstance(e, m.Kill):
                 self.send(e.link, shelf.kill(e))
             elif isinstance(e, m.Decline):
@@ -511,10 +519,14 @@
             client.backlog.add(pieces)
             self.dirty[client] = None
 
-    def send(self, number: int, pieces: list[m.Body]) -> None:
+    def send(self, number: int, pieces: list[m.Body], id: str = "") -> None:
+        """Bytes for a server; with ``id`` they are an attempt."""
         server = self.servers.get(number)
         if server:
             server.backlog.add(pieces)
+            server.put += sum(map(len, pieces))
+            if id:
+                server.pulls.append((server.put, id))
             self.dirty[server] = None
 
     def connect(self, address: tuple[str, int]) -> socket.socket:
@@ -652,7 +664,9 @@
             return
         self.watch(peer, self.wanted(peer))
         if not after:
-            if isinstance(peer, Caller):
+            if isinstance(peer, Server):
+                peer.pulls.clear()
+            elif isinstance(peer, Caller):
                 self.ended(peer)
             elif isinstance(peer, Client):
                 if peer.leaving:
@@ -705,6 +719,9 @@
                 self.tell(answer)
             if peer.codec.fault:
                 self.lose(peer, f"malformed: {peer.codec.fault}")
+            elif peer.half != peer.codec.partial():
+                peer.half = not peer.half
+                self.tell(m.LinkHalf(peer.number, peer.half))
         elif isinstance(peer, Client):
             messages, now = peer.codec.feed(data, self.waited_ns), self.clock.now()
             if messages:
@@ -885,8 +902,9 @@
             elif peer.number in self.parting:
                 self.close(peer)
         elif isinstance(peer, Server) and peer.number in self.servers:
+            unsent = frozenset(id for end, id in peer.pulls if end > peer.backlog.sent)
             self.close(peer)
-            self.tell(m.LinkLost(peer.number, why or "closed by the server", down))
+            self.tell(m.LinkLost(peer.number, why or "closed by the server", down, unsent))
         elif isinstance(peer, Feed) and peer is self.feed:
             self.blind_ns = 0
             self.close(peer)
--- a/kelpcroft/net/shelf.py
+++ b/kelpcroft/net/shelf.py
@@ -174,4 +174,5 @@
         except (ValueError, OverflowError) as error:
             raise ShelfError(str(error)) from error
         note = NOTES.get(fields.get("tell", ""), Note.NONE)  # a note of a later day says nothing here
-        return Answer(self.link, id, outcome, note, waited, report, word == "KEEP", body)
+        named = fields.get("sum", "") if word == "KEEP" else ""
+        return Answer(self.link, id, outcome, note, waited, report, word == "KEEP", body, named)
--- /dev/null
+++ b/tests/test_link_ends.py
@@ -0,0 +1,146 @@
+"""Ends of connections to servers, in the moment in which one is chosen, written to or answered on."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+from turns import MS, SECOND, Peer, Turns, call, done
+
+
+class Ends(unittest.TestCase):
+    def order(self, t: Turns, client: Peer, number: int, body: bytes = b"dish") -> None:
+        client.send(call(number, cls="order", body=body))
+
+    def rested(self, t: Turns) -> tuple[Peer, Peer]:
+        """A client, and a cache whose connection has carried one order and rests."""
+        client = t.client()
+        self.order(t, client, 1)
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the order comes")
+        cache.send(done(cache.pulls()[0]))
+        t.until(client.answers, "it is answered")
+        t.turn(200 * MS)
+        return client, cache
+
+    def answered(self, t: Turns, client: Peer, count: int, cache: Peer) -> None:
+        """The order goes out once more, on a connection of its own, and is served."""
+        again = t.taken("cache1")
+        t.until(again.pulls, "it goes out on another connection")
+        again.send(done(again.pulls()[0], b"taken"))
+        t.until(lambda: len(client.answers()) == count, "it is answered")
+        self.assertEqual(client.answers()[-1], [1, count, None, [b"taken", {}]])
+        self.assertEqual(len(cache.pulls()), 1)
+
+    def test_an_end_in_the_turn_in_which_the_connection_is_chosen(self) -> None:
+        """What must not run twice was written to a connection that its server had ended, unseen yet: it may
+        have run, as far as anyone could tell, and failed."""
+        for reset in (False, True):
+            with self.subTest(reset=reset):
+                t = Turns(self)
+                client, cache = self.rested(t)
+                t.selector.hidden |= {s.sock for s in t.loop.servers.values()}
+                cache.read()
+                cache.close(reset)
+                self.order(t, client, 2)
+                self.answered(t, client, 2, cache)
+
+    def test_what_was_not_all_written_has_not_run(self) -> None:
+        """An order of 48 KB of which the server took a part, and then the connection broke."""
+        t = Turns(self)
+        t.listeners["cache1"].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        client = t.client()
+        self.order(t, client, 1, b"x" * 47_000)
+        t.until(lambda: t.loop.servers, "it is dialled")
+        for ours in t.loop.servers.values():
+            ours.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        first = t.taken("cache1")
+        t.until(lambda: any(s.pulls and s.backlog.sent for s in t.loop.servers.values()), "a part is written")
+        t.turn(turns=3)
+        first.close(reset=True)
+        t.listeners["cache1"].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 18)
+        again = t.taken("cache1")
+        t.until(lambda: again.read().endswith(b"x\r\n"), "all of it comes on another")
+        again.send(done(again.pulls()[0], b"taken"))
+        t.until(client.answers, "it is answered")
+        self.assertEqual(client.answers(), [[1, 1, None, [b"taken", {}]]])
+
+    def test_what_was_all_written_may_have_run(self) -> None:
+        t = Turns(self)
+        client = t.client()
+        self.order(t, client, 1)
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the order comes")
+        cache.close(reset=True)
+        t.until(client.answers, "it is given up")
+        self.assertEqual(client.answers()[0][2][0], "Fault")
+        t.none("cache1")
+
+    def test_nothing_goes_out_on_an_idle_connection_with_half_an_answer(self) -> None:
+        """Half a line, then the end of the stream: what was sent between them was lost with it."""
+        t = Turns(self)
+        client, cache = self.rested(t)
+        cache.send(b"*4\r\n$16\r\n00000")
+        t.until(lambda: any(link.half for link in t.loop.reducer.state.links.by_number.values()), "it is read")
+        self.order(t, client, 2)
+        self.answered(t, client, 2, cache)
+        cache.close()
+        t.turn(turns=3)
+        self.assertEqual(len(client.answers()), 2)
+
+    def test_the_rest_of_an_answer_makes_its_connection_whole(self) -> None:
+        t = Turns(self)
+        client, cache = self.rested(t)
+        late = done("00000000000000ff")
+        cache.send(late[:20])
+        t.until(lambda: any(link.half for link in t.loop.reducer.state.links.by_number.values()), "half of it")
+        cache.send(late[20:])
+        t.until(lambda: not any(x.half for x in t.loop.reducer.state.links.by_number.values()), "all of it")
+        self.order(t, client, 2)
+        t.until(lambda: len(cache.pulls()) == 2, "the connection is used again")
+
+    def test_an_answer_and_its_deadline_in_one_turn(self) -> None:
+        """The answer was there: it is passed on, and the time-out that is due says nothing more."""
+        t = Turns(self)
+        client = t.client()
+        client.send(call(1, patience=1_000))
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        t.turn(990 * MS)
+        cache.send(done(cache.pulls()[0]))
+        t.now += 20 * MS
+        t.turn()
+        t.until(client.answers, "it is answered")
+        t.turn(500 * MS)
+        self.assertEqual(client.answers(), [[1, 1, None, [b"by", {}]]])
+
+    def test_a_connection_given_up_in_the_turn_in_which_it_stands(self) -> None:
+        """The dial's time is over, and the connection is up behind it: it carries nothing."""
+        t = Turns(self)
+        client = t.client()
+        client.send(call(1))
+        cache = t.taken("cache1")
+        t.selector.hidden |= {s.sock for s in t.loop.servers.values() if not s.up}
+        t.turn(SECOND)
+        t.selector.hidden.clear()
+        t.turn(turns=5)
+        self.assertLessEqual(len(cache.pulls()), 1)
+        self.assertEqual(len(t.loop.servers), len(t.loop.reducer.state.links.by_number))
+
+    def test_a_copy_that_no_server_named_is_not_called_current(self) -> None:
+        """KEEP for a copy that the client did not name, or for another one, was passed on."""
+        for cached, named in ((None, "4be0c1927d55a6f3"), ("4be0c1927d55a6f3", "00000000000000aa"),
+                              ("4be0c1927d55a6f3", None), ("4be0c1927d55a6f3", "4be0c1927d55a6f3")):
+            with self.subTest(cached=cached, named=named):
+                t = Turns(self)
+                client = t.client()
+                client.send(call(1, **({"cached": cached} if cached else {})))
+                cache = t.taken("cache1")
+                t.until(cache.pulls, "the attempt comes")
+                fields = f"sum={named},t0=1764576000123,tell=mem".encode() if named else b"tell=mem"
+                cache.send(done(cache.pulls()[0], b"", b"KEEP", fields))
+                good = cached is not None and cached == named
+                t.until(lambda t=t: not t.loop.reducer.state.attempts or t.loop.reducer.state.tally[
+                    "copies not named"], "it is judged")
+                t.turn(turns=3)
+                self.assertEqual(client.answers() == [[1, 1, None, [b"", {"keep": "1"}]]], good)
--- a/tests/turns.py
+++ b/tests/turns.py
@@ -56,7 +56,7 @@
 
     def read(self) -> bytes:
         """All that has come, and whether the other side has ended or reset."""
-        while not self.ended:
+        while not self.ended and self.sock.fileno() >= 0:
             try:
                 data = self.sock.recv(1 << 16)
             except BlockingIOError:
