A silent watch is doubted by the settings figures, and a slow answer is heard out

Seen, on real connections: a watch that is silent again and again was asked anew after 1.4 s each time, whatever contract.ask_within_ns says of when a list counts as told; and a list service that takes over 1.4 s to hand an answer out, byte by byte, was cut off in the middle each time, and so never heard. Ruled out: a wake-up or call that is lost (a second answer that crosses the next call, a failed dial, a move). At fault: loop.POLL_LATE_NS, and the look at it, which counted from the call alone. Change: start/watch.py: half of ask_within plus the least grace for the wait, a quarter for the doubt; the present deployments' 10 s leave 1 s and 0.4 s as they were. An answer that has begun is late when nothing more comes.

--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -12,6 +12,7 @@
 from kelpcroft.start.begin import Begin
 from kelpcroft.start.listing import Listing
 from kelpcroft.start.lists import View
+from kelpcroft.start.watch import Watch, bounded
 from zincgrade import interface as api
 from zincgrade.estimate import mix
 
@@ -59,7 +60,7 @@
         comes at once with nothing new, again and again, is no answer: it would be asked for in a loop.  One
         that counts anew costs a fleet two calls each: under a budget the second is spread as well."""
         fresh = bool(news.events or news.faults) or news.last != self.seen
-        quick = not self.hasty and self.state.now - self.called_ns < self.listing.wait_ms() * MS // 2
+        quick = not self.hasty and self.state.now - self.called_ns < self.watch().wait_ns // 2
         self.hollow = 0 if fresh or not quick else self.hollow + 1
         anew = self.take(news)
         if anew or self.hollow >= (1 if self.listing.bounded else HOLLOW_MOST):
@@ -78,13 +79,18 @@
     def call(self) -> None:
         """Ask for what comes after the last event."""
         self.called_ns, self.hasty = self.state.now, False
-        self.state.effects.append(m.Poll(self.seen, self.listing.wait_ms()))
+        watch = self.watch()
+        self.state.effects.append(m.Poll(self.seen, watch.wait_ns // MS, watch.late_ns))
+
+    def watch(self) -> Watch:
+        """How long a call waits for news, and when it is doubted."""
+        return bounded(self.state.settings.rules, self.listing.wait_ms() * MS)
 
     def on_stalled(self) -> None:
         """Ask anew, to be answered at once: what was told while the process stood still counts as told."""
         self.state.tally["stalls"] += 1
         self.hasty = True
-        self.state.effects.append(m.Poll(self.seen, 1))
+        self.state.effects.append(m.Poll(self.seen, 1, self.watch().late_ns))
 
     def refused(self, why: str) -> None:
         self.state.log("feed.refused", f"feed: not used: {why}", "warning", {"why": why})
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -387,6 +387,7 @@
 
     after: int
     wait_ms: int = 1_000     # how long the feed may wait for news before it answers
+    late_ns: int = 400_000_000  # past that, its answer has begun by then, and goes on so soon
 
 
 @message
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -23,19 +23,19 @@
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.feed import FeedCodec, FeedError, poll_request
 from kelpcroft.net.memory import peak_kb
+from kelpcroft.start.watch import late
 from zincgrade.interface import Settings
 
 SECOND = 1_000_000_000
 READS = 2                    # buffers read from one connection before the others have their turn
 RESTED_NS = 20_000_000       # a server's connection is looked at before a write after so long a rest
 ACCEPTS = 64                 # connections accepted before the others have their turn
-POLL_LATE_NS = 400_000_000   # a poll that is out for so long past its wait is lost: the link may be cut
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
 RULES_NS = 3_000_000         # the operator's file is read for so long in one turn
 CLIENTS_NS = 20_000_000      # new requests are taken for so long in one turn
 PACE_NS = 25_000_000         # in a long turn, what is decided goes out and leavers are heard so often
 GONE_NS = 50_000_000         # what waited so long unread may be from a client that has left: read to the end
-LATE_NS = 1_000_000          # from so much on, what a request waited here is taken off its patience
+WAITED_NS = 1_000_000        # from so much on, what a request waited here is taken off its patience
 UNTAKEN_MOST = 64            # messages of one client that are read and not taken, before it is read on
 SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
 IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
@@ -132,7 +132,8 @@
         super().__init__(sock, pool, now)
         self.codec = FeedCodec()
         self.polled_ns = now
-        self.late_ns = POLL_LATE_NS
+        self.wait_ns = self.late_ns = 0
+        self.heard_ns = 0        # when bytes last came
         self.waits = False
 
 
@@ -317,8 +318,9 @@
             else:
                 self.tell(m.Due(due))
                 self.pace()
-        if self.feed and self.feed.waits and now - self.feed.polled_ns > self.feed.late_ns:
-            self.lose(self.feed, "no answer in time")
+        feed = self.feed
+        if feed and feed.waits and late(now, feed.polled_ns, feed.heard_ns, feed.wait_ns, feed.late_ns):
+            self.lose(feed, "no answer in time")
         if now - self.cleaned_ns > CLEAN_NS:
             self.clean(now)
         self.flush()
@@ -415,10 +417,10 @@
         """Tell what a client has sent, in its order."""
         while client.untaken and not client.leaving:
             read_ns, message = client.untaken.popleft()
-            late = self.clock.now() - read_ns
-            if late > LATE_NS and isinstance(message, m.Call):
-                message = replace(message, patience_ns=message.patience_ns - late,
-                                  waited_ns=message.waited_ns + late)
+            waited = self.clock.now() - read_ns
+            if waited > WAITED_NS and isinstance(message, m.Call):
+                message = replace(message, patience_ns=message.patience_ns - waited,
+                                  waited_ns=message.waited_ns + waited)
             self.tell(message)
         client.untaken.clear()
         self.untaken.pop(client, None)
@@ -571,7 +573,8 @@
                 return
             self.watch(self.feed, selectors.EVENT_WRITE)
         feed = self.feed
-        feed.polled_ns, feed.waits, feed.late_ns = now, True, e.wait_ms * 1_000_000 + POLL_LATE_NS
+        feed.polled_ns, feed.waits = now, True
+        feed.wait_ns, feed.late_ns = e.wait_ms * 1_000_000, e.late_ns
         feed.backlog.add((poll_request(self.feed_at, e.after, e.wait_ms),))
         self.dirty[feed] = None
 
@@ -692,8 +695,8 @@
                     self.lose(peer, "")
                     return
                 self.take_in(peer, memoryview(buffer)[:got])
-                late = isinstance(peer, Client) and self.waited_ns > GONE_NS
-                if got < SIZE and not late or peer.sock.fileno() < 0:
+                waited = isinstance(peer, Client) and self.waited_ns > GONE_NS
+                if got < SIZE and not waited or peer.sock.fileno() < 0:
                     return
         except BlockingIOError:
             pass
@@ -708,6 +711,7 @@
     def take_in(self, peer: Peer, data: memoryview) -> None:
         """Bytes to their codec, what it makes of them to the reducer."""
         if isinstance(peer, Feed):
+            peer.heard_ns = self.clock.now()
             for news in peer.codec.feed(data):
                 peer.waits, self.blind_ns = False, 0
                 if not peer.codec.keeps:
--- /dev/null
+++ b/kelpcroft/start/watch.py
@@ -0,0 +1,48 @@
+"""By when an open watch on the list, on which nothing comes, is doubted and asked anew.  Pure.
+
+A watch that has fallen silent looks like one with no news.  So a call waits for news for a bounded time,
+and one whose answer has not begun LATE_NS past that is lost: the link is taken for cut, and the call is made
+again on another connection.  A drain told in the silence is known after ``wait + late`` and one more call.
+
+The settings bound it: what was listed ``ask_within_ns`` ago counts as told to who has not asked since, and
+binds a grace later.  Half of that is for the wait, a quarter for the doubt, and a quarter for the call that
+follows.  Where the settings name no such time, or a long one, the calls' own figures hold.
+
+An answer that has begun and goes on coming is not late, WHOLE_NS at the most: a list service that takes
+longer than LATE_NS to hand its list out would else be cut off and asked anew for ever.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from zincgrade.interface import Rules
+
+MS = 1_000_000
+LATE_NS = 400 * MS           # past its wait an answer begins by then, and goes on so soon
+LEAST_NS = 20 * MS           # nothing is doubted sooner: a call there and back takes as long
+WHOLE_NS = 5_000 * MS        # and is whole by then
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """How long a call waits for news, and how long after it is doubted."""
+
+    wait_ns: int
+    late_ns: int
+
+
+def bounded(rules: Rules, wait_ns: int) -> Watch:
+    """A call that would wait so long, as these rules let it."""
+    if not rules.ask_within_ns:
+        return Watch(wait_ns, LATE_NS)
+    graces = [grace for grace in (rules.drain_grace_ns, rules.purge_grace_ns) if grace > 0]
+    whole = rules.ask_within_ns + min(graces, default=0)
+    return Watch(max(LEAST_NS, min(wait_ns, whole // 2)), max(LEAST_NS, min(LATE_NS, whole // 4)))
+
+
+def late(now: int, called_ns: int, heard_ns: int, wait_ns: int, late_ns: int) -> bool:
+    """Whether a call's answer is to be given up: made and, if it has begun, last heard of at these times."""
+    if heard_ns <= called_ns:
+        return now - called_ns > wait_ns + late_ns
+    return now - heard_ns > late_ns or now - called_ns > wait_ns + WHOLE_NS
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,107 @@
+"""The watch on the list: silent for ever, slow, or cut in the middle of an answer."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turns import MS, SECOND, Peer, Turns
+
+from kelpcroft.start.listing import AGAIN_MOST_NS
+from kelpcroft.start.watch import LATE_NS, LEAST_NS, WHOLE_NS, bounded, late
+from zincgrade.interface import Rules
+
+
+def news(last: int, *events: object) -> bytes:
+    body = json.dumps({"n": last, "events": events}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class Bounds(unittest.TestCase):
+    @given(st.integers(0, 60 * SECOND), st.integers(0, 5 * SECOND), st.integers(0, 5 * SECOND),
+           st.integers(MS, 4 * SECOND))
+    def test_the_settings_bound_it(self, ask: int, drain: int, purge: int, wait: int) -> None:
+        """It was a constant of ours, whatever the settings said of when a list counts as told."""
+        watch = bounded(Rules(ask_within_ns=ask, drain_grace_ns=drain, purge_grace_ns=purge), wait)
+        self.assertLessEqual(watch.wait_ns, max(wait, LEAST_NS))
+        self.assertLessEqual(watch.late_ns, LATE_NS)
+        if ask:
+            least = min([grace for grace in (drain, purge) if grace] or [0])
+            self.assertLessEqual(watch.wait_ns + watch.late_ns, max(2 * LEAST_NS, ask + least))
+        else:
+            self.assertEqual((watch.wait_ns, watch.late_ns), (wait, LATE_NS))
+
+    def test_an_answer_that_goes_on_coming_is_not_late(self) -> None:
+        self.assertFalse(late(1_400, 0, 0, 1_000, 400))
+        self.assertTrue(late(1_401, 0, 0, 1_000, 400))
+        self.assertFalse(late(1_700, 0, 1_300, 1_000, 400))
+        self.assertTrue(late(1_701, 0, 1_300, 1_000, 400))
+        whole = 1_000 + WHOLE_NS
+        self.assertTrue(late(whole + 1, 0, whole, 1_000, 400))
+
+
+class Watched(unittest.TestCase):
+    def asked(self, t: Turns) -> Peer:
+        """The call that is out: those before it were given up."""
+        feed = t.taken("feed")
+        t.until(feed.read, "the list is asked for")
+        while feed.ended:
+            feed = t.taken("feed")
+            t.until(feed.read, "the list is asked for")
+        return feed
+
+    def drain(self, t: Turns) -> dict[str, object]:
+        (event,) = t.raw["known"]["events"]
+        (line,) = [e for e in event["members"]["endpoints"] if e["name"] == "s-c1"]
+        return {"n": 2, "members": {"index": 2, "snapshot": False, "endpoints": [
+            {**line, "status": "leaving"}]}}
+
+    def test_silent_for_ever(self) -> None:
+        """Nothing comes on an open watch, again and again: each is asked anew in time, and a drain told
+        meanwhile is known with the first that answers."""
+        for ask, within in ((0, 1_400), (400, 400)):
+            with self.subTest(ask_within_ms=ask):
+                contract = {"ask_within_ns": ask * MS, "drain_grace_ns": 500 * MS}
+                t = Turns(self, settings={"contract": contract})
+                self.asked(t)
+                for _ in range(3):
+                    t.turn(within * MS + AGAIN_MOST_NS + 100 * MS)
+                    feed = self.asked(t)
+                feed.send(news(2, self.drain(t)))
+                t.until(lambda t=t: "s-c1" not in t.loop.reducer.state.endpoints, "the drain is known")
+
+    def test_silent_in_the_middle_of_an_answer(self) -> None:
+        t = Turns(self)
+        feed = self.asked(t)
+        whole = news(2, self.drain(t))
+        feed.send(whole[:60])
+        t.turn(300 * MS)
+        t.none("feed")
+        t.turn(300 * MS)
+        again = self.asked(t)
+        again.send(whole)
+        t.until(lambda: "s-c1" not in t.loop.reducer.state.endpoints, "the drain is known")
+
+    def test_a_slow_service_is_heard_to_the_end(self) -> None:
+        """A list that took longer than the doubt was cut off each time, and never heard."""
+        t = Turns(self)
+        feed = self.asked(t)
+        t.turn(SECOND)
+        whole = news(2, self.drain(t))
+        for at in range(0, len(whole), 20):
+            feed.send(whole[at:at + 20])
+            t.turn(200 * MS)
+        self.assertGreater(len(whole) // 20 * 200, 1_400)
+        self.assertNotIn("s-c1", t.loop.reducer.state.endpoints)
+        t.none("feed")
+
+    def test_two_answers_to_one_call(self) -> None:
+        """The second crossed the next call: the watch goes on, and a silence after it is noticed."""
+        t = Turns(self)
+        feed = self.asked(t)
+        feed.send(news(2) + news(2, self.drain(t)))
+        t.until(lambda: "s-c1" not in t.loop.reducer.state.endpoints, "the drain is known")
+        t.turn(1_600 * MS)
+        self.asked(t)
