A source not reached is dead where failures are not told; a refusing origin is spared

Traced: from 6.2 s five of twelve parents were silent; caches turned their fills away after 831 ms (two dials), and of 196 routers nearly all went on naming them, as the answer says only "full" there (notes_given is hit): the cache was blamed. When they came back cold, at 11.1 s, they were asked for 5.3 to 7.4 times what they could give and fell. Fills that parents turned away went on to the origin, 765 a second where 100 fit; it worked off for five seconds what nobody waited for any more, and from 10.5 to 16 s no order was taken in any zone. At fault: Policy.learn, which takes a refusal without a note for the cache's. Change: there, one that took a dial's time or longer is a source not reached, as where it is told; any counts against the source's time to first byte; the origin's, as those that are told, make it spared.

--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -567,10 +567,6 @@
         order += parents[:1] + (backup[:1] if origin else backup)
         return order + [n for n in origin if not n.health.dead or self.trial_due(held, n)]
 
-    def origin_dead(self) -> Node | None:
-        """Exception: a failing origin is spared; parents give what they hold; a trial goes the whole way."""
-        return next((n for n in self.origins if n.health.dead), None)
-
     def parents(self, held: Held) -> list[Node]:
         """Live parents: the pick by least first-byte time over weight first, then the rest."""
         ok = [n for n in self.all_parents if n.line.name not in held.bad_sources]
@@ -608,7 +604,8 @@
         small = self.unit[held.cls.name].mean / self.expected(held) if self.sized(held) else 1.0
         count = held.memo.count * small if held.memo else 0.0
         rank = 0 if held.cls.uncacheable else 3 if count >= RANK_HOT else 2 if count >= RANK_REUSED else 1
-        dead = self.origin_dead()
+        # Exception: a failing origin is spared; parents give what they hold; a trial goes the whole way.
+        dead = next((n for n in self.origins if n.health.dead), None)
         spare = dead is not None and source.line.role is Role.PARENT and not held.cls.uncacheable
         if dead and spare and self.trial_due(held, dead):
             spare = False
@@ -727,6 +724,8 @@
         if held.fills and (e.note is not Note.NONE or e.outcome is Outcome.MISS):
             self.real = max(FILL_GAIN, self.real + FILL_GAIN * ((e.note is not Note.HIT) - self.real))
         filled, far = a.source is not a.node, a.far()
+        # Where failures are not told: the cache lives, as it has answered, so what failed is behind it.
+        untold = filled and self.s.notes != "all" and (e.outcome, e.note) == (Outcome.FULL, Note.NONE)
         if e.report and a.node.line.role is Role.CACHE:
             self.reported(a.node, e.report)
         if e.outcome in (Outcome.OK, Outcome.FULL) and not a.trial:
@@ -734,7 +733,7 @@
             self.judge(held, e.outcome is Outcome.FULL or self.overdue(held), fill)
         if e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
             self.slow_source(held, a)
-        elif e.note in (Note.SOURCE_BROKE, Note.SOURCE_REFUSED) or (
+        elif untold or e.note in (Note.SOURCE_BROKE, Note.SOURCE_REFUSED) or (
                 far is a.node and e.outcome in (Outcome.ERROR, Outcome.FULL)):
             far.waited(now, self.aim(held))  # costs what a late answer costs, however quick it is
         if e.outcome in (Outcome.OK, Outcome.TIMEOUT):
@@ -774,11 +773,11 @@
             return  # a lost connection is no lost server: whether one is there, the next connection tells
         if e.outcome is Outcome.CONNECT_FAILED:
             self.blame(a.node, DEAD_STRIKES, True)
-        elif e.note is Note.ORIGIN_FAILED or (e.note is Note.SOURCE_REFUSED
-                                              and a.source.line.role is Role.ORIGIN):
+        elif e.note is Note.ORIGIN_FAILED or (a.source.line.role is Role.ORIGIN
+                                              and (untold or e.note is Note.SOURCE_REFUSED)):
             for origin in self.origins:
                 self.blame(origin, 1, False)
-        elif e.note is Note.SOURCE_BROKE:
+        elif e.note is Note.SOURCE_BROKE or untold and 0 < self.s.limits.connect_timeout_ns <= e.took_ns:
             # Not reached is lost; broken off may be a fill's time limit in a jam.
             self.blame(a.source, DEAD_STRIKES if e.outcome is Outcome.FULL else 1, True)
         elif e.note is Note.NONE and e.outcome is Outcome.ERROR:
