KNOWN-RED.txt: a few known faults may land as tests, printed, and nothing else passes

Need: a test that shows a real fault which is not mended yet could not land, so faults went without one. The list is empty, so there is no file.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,68 @@
+"""The list of known faults cannot hide anything: each way to abuse it fails the run."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from player import ROOT, WAIT_S
+from red import MOST, read
+
+SAMPLE = """
+import unittest
+
+class Sample(unittest.TestCase):
+    def test_red(self) -> None:
+        self.assertEqual(1, 2)
+
+    def test_green(self) -> None:
+        self.assertEqual(1, 1)
+"""
+
+
+class KnownRed(unittest.TestCase):
+    def run_with(self, listed: str) -> tuple[int, str]:
+        """One red and one green test, under a list."""
+        with tempfile.TemporaryDirectory(dir=ROOT / "tests", prefix="red-") as folder:
+            sample, path = Path(folder) / "test_sample.py", Path(folder) / "list.txt"
+            sample.write_text(SAMPLE)
+            path.write_text(listed.replace("SAMPLE", str(sample.relative_to(ROOT))))
+            done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider",
+                                   f"--known-red={path}", str(sample)], cwd=ROOT, capture_output=True,
+                                  text=True, timeout=3 * WAIT_S)
+        return done.returncode, done.stdout + done.stderr
+
+    def test_a_listed_failure_is_printed_and_passes(self) -> None:
+        code, said = self.run_with("SAMPLE::Sample::test_red | one is not two | 27\n")
+        self.assertEqual(code, 0, said)
+        self.assertIn("KNOWN RED", said)
+        self.assertIn("(cause: one is not two; issue 27)", said)
+
+    def test_any_other_failure_fails(self) -> None:
+        self.assertEqual(self.run_with("# none\n")[0], 1)
+
+    def test_a_listed_test_that_passes_fails_the_run(self) -> None:
+        red = "SAMPLE::Sample::test_red | one is not two | 27\n"
+        code, said = self.run_with(red + "SAMPLE::Sample::test_green | was red | 27\n")
+        self.assertEqual(code, 1, said)
+        self.assertIn("take it out of KNOWN-RED.txt", said)
+
+    def test_what_cannot_be_used_fails_the_run(self) -> None:
+        for line, why in (("test_red", "is not 'tests/"),
+                          ("SAMPLE::Sample::test_red | | 27", "is not 'tests/"),
+                          ("SAMPLE::Sample::test_red | why | soon", "is not 'tests/"),
+                          ("SAMPLE::Sample::test_gone | why | 27", "no such test"),
+                          ("tests/test_gone.txt.py::test_x | why | 27", "no such test")):
+            with self.subTest(line=line):
+                code, said = self.run_with(line + "\n")
+                self.assertEqual(code, 4, said)
+                self.assertIn(why, said)
+
+    def test_the_list_has_an_end(self) -> None:
+        lines = "".join(f"tests/test_x.py::test_{n} | why | 27\n" for n in range(MOST + 1))
+        self.assertEqual(len(read(lines)[1]), 1)
+        self.assertEqual(read(lines.splitlines()[0])[1], [])
+        self.assertEqual(len(read(2 * lines.splitlines(True)[0])[1]), 1)
