What a zone's caches have no room for goes to a parent where there is room

Ruled out: drains heard late (the list is at 1.3 s), the watch that falls silent, dead verdicts. At fault: Policy.on_request, which refuses what the caches' gate does not admit; going straight to a parent was left to requests for which no cache could be named. Change: where deployment, link and the gate of fills allow it, such a request goes straight to a parent.

--- a/tests/test_early_limits.py
+++ b/tests/test_early_limits.py
@@ -56,6 +56,20 @@
         self.assertTrue(all(burst(p, S + 500 * MS, 10, 400.0, "after")))
         self.assertLess(p.gates[False].caches.value, 1.0)
 
+    def test_what_the_caches_have_no_room_for_goes_straight_to_a_parent(self) -> None:
+        """A zone had two caches left: two thirds of what it was asked was refused for half a minute, with its
+        link at a third of what fits.  Not where the link is full, nor where it is not allowed."""
+        for direct, link, straight in ((True, 0.4, True), (True, 3.0, False), (False, 0.4, False)):
+            with self.subTest(direct=direct, link=link):
+                p = policy(direct=direct)
+                burst(p, S, 60, 400.0)
+                for _ in range(50):
+                    p.gates[True].link.told(S, link)
+                later = [f for n in range(20)
+                         for f in fetches(ask(p, S, f"l{n}", 5_000 + n, size_kb=400.0))]
+                self.assertEqual(any(f.cache.startswith("p") for f in later), straight)
+                self.assertFalse(any(f.cache == "o" for f in later))
+
     def test_a_burst_that_is_called_off_at_once_keeps_nobody_out(self) -> None:
         """A client that asked for hundreds and cancelled them filled the offered work of four seconds."""
         refused = {}
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,62 @@
+"""Signals at every step of a request: each request taken gets one answer, whatever comes when."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import unittest
+
+from turns import MS, Peer, Turns, call, done
+
+from kelpcroft import messages as m
+
+TERM, HUP = signal.SIGTERM, signal.SIGHUP
+STEPS = 8                    # turns from a client's first byte to its answer, and some
+
+
+class Signals(unittest.TestCase):
+    def play(self, at: int, signals: tuple[int, ...], good: bool = False) -> None:
+        """One request that its cache lacks and then has, with signals before one of its turns; ``good``: the
+        file read again is the one in use."""
+        t = Turns(self)
+        if good:
+            t.loop.reload = lambda: m.Reload("config.json", json.dumps(t.raw).encode())
+        client = Peer(socket.create_connection(t.address))
+        self.addCleanup(client.close)
+        client.send(call(1))
+        caches: list[Peer] = []
+        answered: set[tuple[int, str]] = set()
+        for step in range(3 * STEPS):
+            if step == at:
+                t.loop.on_signals(bytes(signals))
+            t.turn()
+            for name in ("cache1", "parent", "origin"):
+                try:
+                    caches.append(Peer(t.listeners[name].accept()[0]))
+                    self.addCleanup(caches[-1].close)
+                except BlockingIOError:
+                    pass
+            for n, cache in enumerate(caches):
+                for id in cache.pulls():
+                    if (n, id) not in answered:
+                        cache.send(done(id) if answered else done(id, b"", b"LACK", b"-"))
+                        answered.add((n, id))
+        self.assertEqual(client.answers(), [[1, 1, None, [b"by", {}]]])
+        self.assertEqual(len(answered), 2, "one attempt that failed and one that served")
+        t.turn(1_000 * MS)
+        self.assertEqual(t.loop.stopping, TERM in signals)
+        if t.loop.stopping:
+            t.tick_ns = 10 * MS
+            t.loop.linger()
+            client.read()
+            self.assertTrue(client.ended and not client.reset)
+        self.assertEqual(len(client.answers()), 1)
+
+    def test_at_every_step(self) -> None:
+        for at in range(STEPS):
+            for signals in ((TERM,), (HUP,), (TERM, TERM), (HUP, TERM), (TERM, HUP)):
+                with self.subTest(at=at, signals=signals):
+                    self.play(at, signals)
+            with self.subTest(at=at, signals="a file that can be used"):
+                self.play(at, (HUP,), good=True)
--- a/zincgrade/held.py
+++ b/zincgrade/held.py
@@ -46,6 +46,7 @@
         self.tries, self.most = 0, most    # attempts sent; allowed when it came
         self.done = self.started = self.judged = False
         self.fills = self.look = False     # looks like a fill; only a hit is wanted
+        self.aside = False                 # its zone's caches have no room for it: straight to a parent
         self.resets = 0                    # attempts lost with their connection
         self.further = self.moved = self.copied = 0  # sends after one that may have run, or had not; copies
         self.bad_caches: set[str] = set()
--- a/zincgrade/policy.py
+++ b/zincgrade/policy.py
@@ -342,7 +342,10 @@
             self.gates[True].bound(min(fills or math.inf, link or math.inf) / self.real)
             # Too dear a fill may still be a hit: look in its cache, without a fill, before refusing.
             held.look = not self.gates[True].admits(price, self.now)
-        return self.gates[False].admits(price, self.now)
+        # Exception: what the caches have no room for goes straight to a parent, if link and parents have.
+        fits, spare = self.gates[False].admits(price, self.now), self.gates[True].link.now(self.now) < 1
+        held.aside = not fits and s.direct and spare and self.gates[True].admits(price, self.now)
+        return fits or held.aside
 
     def on_end(self, e: api.AttemptEnded) -> None:
         held = self.held.get(e.id)
@@ -361,10 +364,13 @@
     def on_tick(self) -> None:
         """Every TICK_NS while requests are held: silence, lateness, old purges."""
         self.ticking = False
-        self.silence()
         for node in self.caches_here:
             node.stuck = 0
         for held in list(self.held.values()):
+            for a in held.out.values():
+                # Silence well past its usual time: one such attempt is enough, and it goes on.
+                if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
+                    self.blame_silent(a, DEAD_STRIKES)
             # A copy asked for long after it is answered by now: it waits for its source, not for its cache.
             waits = [a for a in held.out.values() if a.sent_ns + self.expected(held) < a.node.passed_ns]
             for a in waits:
@@ -499,7 +505,7 @@
 
     def pick(self, held: Held) -> tuple[Node, Node] | None:
         """The cache and source of the next attempt."""
-        caches = self.caches(held)
+        caches = [] if held.aside else self.caches(held)
         for cache in caches:
             for source in self.sources(held, cache):
                 return cache, source
@@ -796,13 +802,6 @@
         if 0 <= report.get("x0", 1.0) < COLD_HITS and self.now - node.born_ns > self.s.rules.cold_ns:
             node.born_ns = self.now        # as if it started now, whatever the list says
 
-    def silence(self) -> None:
-        """Blames a server for an attempt well past its usual time; one is enough, and the attempt goes on."""
-        for held in self.held.values():
-            for a in held.out.values():
-                if not held.started and not a.trial and self.now - a.sent_ns > self.usual(held, 2.0):
-                    self.blame_silent(a, DEAD_STRIKES)
-
     def slow_source(self, held: Held, a: Attempt) -> None:
         """An answer that has not come tells as much as a late one, and in time: see parents."""
         lost, far = self.now - a.sent_ns - self.expected(held), a.far()
