Tests of peers that send in pieces, too much, without end, or twice

Need: a byte at a time in turns of its own, a flood with a close behind it, an answer that never ends, a second answer and a reset in the middle of a message were each tested in parts only, on codecs. Nothing is kept of such peers, and others are served.

--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,98 @@
+"""Peers that send in pieces, too much, without end, or twice: one clear end, and nothing lost for others."""
+
+from __future__ import annotations
+
+import unittest
+
+from turns import MS, Peer, Turns, call, done
+
+from kelpcroft.net.front import OPEN_MOST
+from kelpcroft.net.loop import STALLED_NS
+
+
+class Floods(unittest.TestCase):
+    def settled(self, t: Turns) -> None:
+        """Nothing is kept of anyone."""
+        self.assertEqual((t.loop.pool.out, t.loop.untaken, t.loop.reducer.state.calls), (0, {}, {}))
+
+    def dialled(self, t: Turns) -> list[str]:
+        """Servers to which a connection is open."""
+        ports = {sock.getsockname()[1]: name for name, sock in t.listeners.items()}
+        return [ports[s.sock.getpeername()[1]] for s in t.loop.servers.values()]
+
+    def served(self, t: Turns, client: Peer, cache: Peer, number: int) -> None:
+        """Somebody else's request, as ever."""
+        client.send(call(number, trace=f"{0xbee0 + number:016x}"))
+        t.until(lambda: f"{0xbee0 + number:016x}" in cache.pulls(), "it is sent on")
+        cache.send(done(f"{0xbee0 + number:016x}"))
+        t.until(lambda: [1, number, None, [b"by", {}]] in client.answers(), "it is answered")
+
+    def test_a_byte_at_a_time(self) -> None:
+        """Each byte in a turn of its own, from the client and from the server."""
+        t = Turns(self)
+        client = t.client()
+        for byte in call(1):
+            client.send(bytes([byte]))
+            t.turn(MS)
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the attempt comes")
+        for byte in done(cache.pulls()[0]):
+            cache.send(bytes([byte]))
+            t.turn(MS)
+        t.until(client.answers, "it is answered")
+        self.assertEqual(client.answers(), [[1, 1, None, [b"by", {}]]])
+        self.settled(t)
+
+    def test_much_at_once_and_gone(self) -> None:
+        """Hundreds of requests, whole and half, and a close behind them: none is sent on."""
+        t = Turns(self)
+        other, cache = t.served()
+        floods = t.client()
+        try:
+            floods.send(b"".join(call(n, trace=f"{n + 99:016x}") for n in range(1, 10 * OPEN_MOST)))
+        except BlockingIOError:
+            pass
+        floods.close()
+        t.turn(turns=5)
+        t.turn(100 * MS)
+        self.assertEqual(len(cache.pulls()), 1)
+        self.served(t, other, cache, 2)
+        self.settled(t)
+        self.assertLessEqual(len([log for log in t.logged if log.event == "client.lost"]), 1)
+
+    def test_an_answer_that_never_ends(self) -> None:
+        """A head that says a quarter of a megabyte, and then nothing: its connection goes, others are served,
+        and what may run again is tried once more."""
+        t = Turns(self)
+        other, cache = t.served()
+        other.send(call(2))
+        t.until(lambda: len(cache.pulls()) == 2, "the attempt comes")
+        cache.send(done(cache.pulls()[1], b"x" * 240_000)[:5_000])
+        t.turn(STALLED_NS + 200 * MS)
+        (where,) = self.dialled(t)
+        again = t.taken(where)
+        t.until(again.pulls, "it is tried again")
+        again.send(done(again.pulls()[0]))
+        t.until(lambda: len(other.answers()) == 2, "it is answered")
+        self.settled(t)
+
+    def test_a_second_answer_some_milliseconds_later(self) -> None:
+        t = Turns(self)
+        client, cache = t.served()
+        cache.send(done(cache.pulls()[0], b"other"))
+        t.turn(5 * MS)
+        self.served(t, client, cache, 2)
+        self.assertEqual(len(client.answers()), 2)
+        self.settled(t)
+
+    def test_a_client_that_breaks_off_in_the_middle(self) -> None:
+        t = Turns(self)
+        other, cache = t.served()
+        half = t.client()
+        half.send(call(1, trace=f"{7:016x}", body=b"x" * 40_000)[:20_000])
+        t.turn(MS)
+        half.close(reset=True)
+        t.turn(MS, turns=3)
+        self.served(t, other, cache, 2)
+        self.assertEqual(len(t.loop.clients), 1)
+        self.settled(t)
