Read again: heap entries numbered apart, the end put off at its last step only

Seen on reading the change again: the entry that puts the end off shared its number with the last wake-up, so with one time too the two were compared by their keys, which cannot be; it also held the closing of the listening socket back, and began its second too soon. Ids of attempts were kept until a connection's backlog was empty. At fault: Loop.turn, Loop.write.

--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -28,6 +28,7 @@
 COUNT_NS = 10 * SECOND       # between lines of counters in the log
 ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
 LAME_NS = 800 * MS           # and requests on open ones at least so long
+LAST = 2                     # the step of the planned end after which the process is over
 
 
 class Reducer:
@@ -294,13 +295,13 @@
                 self.state.effects += [m.StopAccepting(), m.Release(True)]
             else:
                 self.state.wake(ACCEPT_NS, Timer.LAME, 1)
-            self.state.wake(LAME_NS, Timer.LAME, 2)
+            self.state.wake(LAME_NS, Timer.LAME, LAST)
 
     def on_lame(self, step: int) -> None:
         if step == 1:
             self.state.effects.append(m.StopAccepting())
         elif not self.service.may_exit(self.state.now, len(self.state.requests), len(self.clients)):
-            self.state.wake(10 * MS, Timer.LAME, 2)
+            self.state.wake(10 * MS, Timer.LAME, LAST)
         else:
             self.count()
             if self.service.shared:
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -17,7 +17,7 @@
 from kelpcroft import messages as m
 from kelpcroft.config import Config
 from kelpcroft.core.descriptors import shared_out
-from kelpcroft.core.reducer import Reducer
+from kelpcroft.core.reducer import LAST, Reducer
 from kelpcroft.log import EventLog
 from kelpcroft.net import control, front, handing, listeners, shelf
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
@@ -313,7 +313,8 @@
         now = self.clock.now()
         while self.heap and self.heap[0][0] <= now and not self.stopping:
             due = heapq.heappop(self.heap)[2]
-            if due[0] is m.Timer.LAME and self.unheard(now):
+            if due[0] is m.Timer.LAME and due[1] == LAST and self.unheard(now):
+                self.made += 1               # no two entries of the heap may be compared by their keys
                 heapq.heappush(self.heap, (now + UNHEARD_NS // 100, self.made, due))
             else:
                 self.tell(m.Due(due))
@@ -662,14 +663,15 @@
         after = peer.backlog.size()
         if not after or after < before:
             peer.moved_ns = self.clock.now()
+        if isinstance(peer, Server):
+            while peer.pulls and peer.pulls[0][0] <= peer.backlog.sent:
+                peer.pulls.popleft()
         if not room:
             self.lost.append((peer, "no buffers left for what it does not read"))
             return
         self.watch(peer, self.wanted(peer))
         if not after:
-            if isinstance(peer, Server):
-                peer.pulls.clear()
-            elif isinstance(peer, Caller):
+            if isinstance(peer, Caller):
                 self.ended(peer)
             elif isinstance(peer, Client):
                 if peer.leaving:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,6 +8,7 @@
 
 from turns import MS, SECOND, Turns, call, done
 
+from kelpcroft import messages as m
 from kelpcroft.net.loop import IDLE_NS, LINGER_NS, PART_BYTES, PART_NS, SILENT_NS
 
 
@@ -122,6 +123,22 @@
         t.turn(100 * MS)
         self.assertTrue(t.loop.stopping)
 
+    def test_what_is_put_off_is_never_compared_by_its_key(self) -> None:
+        """Two entries of the heap with one time and one number were compared by what they are for."""
+        t = Turns(self)
+        client, _ = t.served()
+        self.ending(t)
+        t.selector.hidden.add(t.socket_of(client))
+        client.send(call(2))
+        t.turn(790 * MS)
+        for late in range(1, 30):
+            t.loop.carry_out([m.Wake(t.now + late * MS, (m.Timer.MODULE, 0, 0))])
+        numbers = [entry[1] for entry in t.loop.heap]
+        t.turn(30 * MS)
+        self.assertEqual(len(set(numbers)), len(numbers))
+        numbers = [entry[1] for entry in t.loop.heap]
+        self.assertEqual(len(set(numbers)), len(numbers))
+
     def test_the_end_is_not_put_off_for_ever(self) -> None:
         t = Turns(self)
         client = t.client()
--- a/tests/test_link_ends.py
+++ b/tests/test_link_ends.py
@@ -65,6 +65,32 @@
         t.until(client.answers, "it is answered")
         self.assertEqual(client.answers(), [[1, 1, None, [b"taken", {}]]])
 
+    def test_what_is_kept_of_writes_ends_with_them(self) -> None:
+        """A connection whose backlog is never empty kept the id of each attempt it ever carried."""
+        t = Turns(self)
+        client = t.client()
+        self.order(t, client, 1)
+        t.until(lambda: t.loop.servers, "it is dialled")
+        (ours,) = t.loop.servers.values()
+        ours.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        cache = t.taken("cache1")
+        t.until(cache.pulls, "the order comes")
+        for n in range(40):
+            t.loop.send(ours.number, [b"x" * 8_000], f"{n:016x}")
+            t.turn()
+            if n % 2:
+                cache.read()
+        self.assertTrue(ours.backlog.size())
+        t.until(lambda: cache.read() and not ours.backlog.size(), "all is written")
+        self.assertEqual(len(ours.pulls), 0)
+        sent = ours.backlog.sent
+        t.loop.send(ours.number, [b"x" * 2_000_000], "a")
+        t.loop.send(ours.number, [b"x" * 2_000_000], "b")
+        t.turn()
+        ours.backlog.sent = sent + 2_000_000     # as if just the first had been taken
+        t.loop.write(ours)
+        self.assertEqual([id for _, id in ours.pulls], ["b"])
+
     def test_what_was_all_written_may_have_run(self) -> None:
         t = Turns(self)
         client = t.client()
