--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -131,7 +131,7 @@
         t.selector.hidden.add(t.socket_of(client))
         client.send(call(2))
         t.turn(790 * MS)
-        for late in range(1, 30):
+        for late in range(1, 60):
             t.loop.carry_out([m.Wake(t.now + late * MS, (m.Timer.MODULE, 0, 0))])
         numbers = [entry[1] for entry in t.loop.heap]
         t.turn(30 * MS)
