A rollout's hold for silence ends by itself, and a controller's own pause is no silence

Ruled out: the routers, who serve all the while and answer on the next poll. Made to happen every time by a controller that is stopped (SIGSTOP) for 2 s on each change and woken: "held: 2 routers do not answer". At fault: stages.py measured silence from the last report (unknown) although the controller itself had asked nobody; step() held, and nothing but people's order ended that hold; deadlines of steps ran on during the pause. An order to hold stays.

--- a/kelpcroft/rollout/snapshot.py
+++ b/kelpcroft/rollout/snapshot.py
@@ -11,7 +11,7 @@
 
 from kelpcroft.rollout.judge import Bet, Judge, Sample, Verdict
 from kelpcroft.rollout.plan import Plan
-from kelpcroft.rollout.stages import Outcome, Phase, Report, Rollout, Router
+from kelpcroft.rollout.stages import HoldCause, Outcome, Phase, Report, Rollout, Router
 
 VERSION = 1
 
@@ -65,6 +65,7 @@
         "stage_ns": r.stage_ns,
         "outcome": r.outcome.value,
         "why": r.why,
+        "hold_cause": r.hold_cause.value,
         "memory": r.memory_kb,
         "harmed": list(r.harmed) if r.harmed else None,
         "after": r.after_ns,
@@ -84,6 +85,7 @@
         r = Rollout(plan, int(raw["now"]))
         r.stage, r.stage_ns, r.why = int(raw["stage"]), int(raw["stage_ns"]), str(raw["why"])
         r.outcome, r.after_ns = Outcome(raw["outcome"]), int(raw["after"])
+        r.hold_cause = HoldCause(raw.get("hold_cause", ""))
         r.memory_kb = int(raw.get("memory", 0))
         r.harmed = (str(raw["harmed"][0]), str(raw["harmed"][1])) if raw["harmed"] else None
         for name, x in raw["routers"].items():
--- a/kelpcroft/rollout/stages.py
+++ b/kelpcroft/rollout/stages.py
@@ -60,6 +60,14 @@
 NEW = frozenset((Phase.CHANGED, Phase.COLD, Phase.JUDGED, Phase.KEPT))
 
 
+class HoldCause(Enum):
+    """Why a rollout is held, where that decides how the hold ends."""
+
+    NONE = ""
+    SILENCE = "silence"  # too many routers do not answer: it ends by itself once they do
+    PEOPLE = "people"  # an order, or a finding that people are to look at: it ends by their order
+
+
 class Outcome(Enum):
     """Where the whole is."""
 
@@ -164,6 +172,7 @@
         self.stage, self.stage_ns = -1, now
         self.outcome = Outcome.RUNNING
         self.why = ""  # it is held or taken back
+        self.hold_cause = HoldCause.NONE
         self.judge = Judge(plan.rates)
         self.polled_ns = self.sliced_ns = now - plan.every_ns
         self.looked_ns = now  # since when somebody asks: before that, silence is nobody's
@@ -174,7 +183,10 @@
 
     def handle(self, now: int, event: Event) -> list[Effect]:
         """One event.  The time never runs back: an earlier one counts as the last."""
+        paused = now - self.now > self.plan.every_ns
         self.now, self.effects = max(now, self.now), []
+        if paused:
+            self.look_anew()
         if isinstance(event, Report):
             self.on_report(event)
         elif isinstance(event, Order):
@@ -185,6 +197,20 @@
             self.step()
         return self.effects
 
+    def look_anew(self) -> None:
+        """This process stood still for longer than a polling interval.  It asked nobody meanwhile, so that
+        time is not the routers' silence; answers that waited here are from before the pause, and do not count as
+        heard since."""
+        self.looked_ns = self.now + 1
+        self.polled_ns = self.now - self.plan.every_ns
+        self.restart_deadlines()
+
+    def restart_deadlines(self) -> None:
+        """Each step under way has its time anew: nobody looked meanwhile."""
+        for router in self.routers.values():
+            if router.phase in AWAY and router.phase is not Phase.COLD:
+                router.since_ns = self.now
+
     def resume(self, now: int, repeat: bool) -> list[Effect]:
         """After another process has taken over: what was ordered last at each router may never have gone out.
         Orders that do no harm twice go out again; a change only if its tool says so (``repeat``), else the
@@ -199,9 +225,8 @@
         again |= dict.fromkeys((Phase.COLD, Phase.TAKEN_BACK, Phase.CONTROL), Act.IN)
         if repeat:
             again |= {Phase.CHANGED: Act.APPLY, Phase.UNDONE: Act.UNDO, Phase.RESTARTED: Act.RESTART}
+        self.restart_deadlines()
         for name, router in self.routers.items():
-            if router.phase in AWAY and router.phase is not Phase.COLD:
-                router.since_ns = self.now  # its time begins anew: nobody looked meanwhile
             if router.phase in again:
                 self.effects.append(Do(name, again[router.phase]))
         self.note(
@@ -249,9 +274,10 @@
     def on_order(self, order: Order) -> None:
         if order is Order.HOLD and self.outcome is Outcome.RUNNING:
             self.hold("ordered")
+        elif order is Order.HOLD and self.hold_cause is HoldCause.SILENCE:
+            self.hold("ordered")  # it no longer ends by itself
         elif order is Order.RESUME and self.outcome is Outcome.HELD:
-            self.outcome, self.why, self.stage_ns = Outcome.RUNNING, "", self.now
-            self.note("resumed", "the rollout goes on")
+            self.go_on("the rollout goes on")
         elif order is Order.REVERT and self.outcome in (Outcome.RUNNING, Outcome.HELD):
             self.revert("ordered")
 
@@ -262,6 +288,16 @@
         since = max(router.heard_ns, self.begun(router), self.looked_ns)
         return self.now - since > STALE_TURNS * self.plan.every_ns
 
+    def answering(self) -> bool:
+        """Whether no more routers than the plan allows are without an answer since this process last looked
+        and asked.  One that is being changed may be silent and does not count."""
+        silent = (
+            r.heard_ns < self.looked_ns or self.unknown(r)
+            for r in self.routers.values()
+            if r.phase not in (Phase.CHANGED, Phase.UNDONE)
+        )
+        return sum(silent) <= self.plan.unknown_most
+
     def begun(self, router: Router) -> int:
         """A process that is being changed is silent for a while, and has until ready to speak."""
         waits = router.phase in (Phase.CHANGED, Phase.UNDONE)
@@ -309,7 +345,9 @@
             self.advance(router)
         lost = sorted(n for n, r in self.routers.items() if self.unknown(r))
         if self.outcome is Outcome.RUNNING and len(lost) > self.plan.unknown_most:
-            self.hold(f"{len(lost)} routers do not answer: {', '.join(lost[:5])}")
+            self.hold(f"{len(lost)} routers do not answer: {', '.join(lost[:5])}", HoldCause.SILENCE)
+        elif self.outcome is Outcome.HELD and self.hold_cause is HoldCause.SILENCE and self.answering():
+            self.go_on("routers answer again within the plan's limit: the rollout goes on")
         if self.outcome is Outcome.RUNNING:
             self.forward()
         elif self.outcome is Outcome.REVERTING:
@@ -542,10 +580,16 @@
 
     # What stops it ----------------------------------------------------------------------------------------
 
-    def hold(self, why: str) -> None:
-        self.outcome, self.why = Outcome.HELD, why
+    def hold(self, why: str, cause: HoldCause = HoldCause.PEOPLE) -> None:
+        self.outcome, self.why, self.hold_cause = Outcome.HELD, why, cause
         self.note("held", why, **self.judge.figures())
 
+    def go_on(self, why: str) -> None:
+        """A hold is over."""
+        self.outcome, self.why, self.stage_ns = Outcome.RUNNING, "", self.now
+        self.hold_cause = HoldCause.NONE
+        self.note("resumed", why)
+
     def harm(self, router: Router, name: str, why: str) -> None:
         """A sign that needs no statistics."""
         if self.outcome in (Outcome.RUNNING, Outcome.HELD):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -268,6 +268,39 @@
         world.run(200, {150: Order.RESUME})
         self.assertEqual(world.run(), Outcome.DONE, world.rollout.why)
 
+    def test_a_hold_for_silence_ends_once_the_routers_answer(self) -> None:
+        """Nobody has to say so; a hold that people ordered meanwhile stays."""
+        for ordered in (False, True):
+            with self.subTest(ordered=ordered):
+                world = self.world(sound)
+                for n, p in enumerate(world.processes.values()):
+                    p.silent_until = 1_150 * S if n < 5 else 0
+                while world.now < 1_045 * S:
+                    world.second()
+                self.assertEqual(world.rollout.outcome, Outcome.HELD)
+                world.rollout = restored(world.plan, dump(world.rollout))  # the cause outlives the process
+                begun = sum(note.name == "begun" for note in world.notes)
+                if ordered:
+                    world.tell(Order.HOLD)
+                while world.now < 1_150 * S:
+                    world.second()
+                    self.assertEqual(world.rollout.outcome, Outcome.HELD)
+                self.assertEqual(sum(note.name == "begun" for note in world.notes), begun)
+                due = Outcome.HELD if ordered else Outcome.DONE
+                self.assertEqual(world.run(4_000, {10_000: Order.HOLD}), due, world.rollout.why)
+
+    def test_a_pause_of_the_controller_is_no_silence_of_the_routers(self) -> None:
+        """It stands still for 20 s at any step of a change, longer than a step may take: nothing is held and nobody is taken back."""
+        world = self.world(sound)
+        pauses = 0
+        while world.rollout.outcome is Outcome.RUNNING and world.now < 5_000 * S:
+            world.second()
+            if pauses < 20 and world.now % (7 * S) == 0:
+                pauses += 1
+                world.now += 20 * S
+        self.assertEqual((world.rollout.outcome, pauses), (Outcome.DONE, 20), world.rollout.why)
+        self.assertNotIn("held", [note.name for note in world.notes])
+
     def test_one_that_dies_in_its_change_is_taken_back(self) -> None:
         """Nothing answers there, so it never said that it was out of service, and the taking back hung."""
 
