Faults of control replicas with real processes, and positions that move while a state is doubtful

Replica killed, stopped and woken, cut from upstream, behind links that are silent, late, cut or garbage, a list service that counts from 1, a lagging replica, two that disagree, upstream dead: after each a purge and a drain are in force at all twelve hollow routers, and calls stay bounded; under load with real routers no rule is broken.

--- a/kelpcroft/controllog/follower.py
+++ b/kelpcroft/controllog/follower.py
@@ -42,7 +42,7 @@
     """What to do with an answer."""
 
     TAKE = "take"            # as it stands; the position moves
-    DEPARTURES = "departures"  # only what goes and what is purged; the position stays
+    DEPARTURES = "departures"  # only what goes and what is purged, until a state is known to be later
     RESYNC = "resync"        # it is of a later log: ask this replica for the whole state
     BEHIND = "behind"        # it is of an earlier state than what is known: ask another replica
 
@@ -56,6 +56,7 @@
         self.position = Position()
         self.as_of_ms = as_of_ms  # of the latest state that was taken
         self.resync = False      # the next call asks for the whole state
+        self.doubtful = False    # the position is of a log whose state has not been taken
 
     def asks(self) -> Position:
         """The position that the next call names."""
@@ -68,12 +69,15 @@
             return Verdict.TAKE if later else Verdict.DEPARTURES
         if self.resync or head.last < self.position.number:
             return Verdict.RESYNC if later else Verdict.BEHIND
+        if self.doubtful:
+            return Verdict.RESYNC if later else Verdict.DEPARTURES
         return Verdict.TAKE
 
     def act(self, head: Head, verdict: Verdict) -> None:
         """The answer was dealt with by its verdict."""
+        self.resync = verdict is Verdict.RESYNC
+        if verdict in (Verdict.TAKE, Verdict.DEPARTURES):
+            self.position = Position(head.last, head.mark)
+            self.doubtful = verdict is Verdict.DEPARTURES
         if verdict is Verdict.TAKE:
-            self.position, self.resync = Position(head.last, head.mark), False
             self.as_of_ms = max(self.as_of_ms, head.as_of_ms)
-        else:
-            self.resync = verdict is Verdict.RESYNC
--- a/kelpcroft/controllog/replica.py
+++ b/kelpcroft/controllog/replica.py
@@ -235,8 +235,6 @@
             self.move(now, "it is behind")
         elif verdict is Verdict.TAKE and now // MS - feed.as_of_ms > self.options.lease_ns // MS:
             self.move(now, "it is stale")
-        elif verdict is Verdict.DEPARTURES:
-            self.call(now, self.sources.around(self.options.batch_ns))
         else:
             self.good(now)
 
--- a/kelpcroft/controllog/subscription.py
+++ b/kelpcroft/controllog/subscription.py
@@ -15,7 +15,6 @@
     """What follows an answer."""
 
     CALL = "call"            # the next call, at once
-    WAIT = "wait"            # the next call, after a while
     HOME = "home"            # the next call, at once and at the home address
     MOVE = "move"            # another address
 
@@ -57,14 +56,8 @@
             return Outcome(verdict, Next.MOVE, "it is behind")
         if now - head.as_of_ms * MS > self.stale_ns:
             return Outcome(verdict, Next.MOVE, "it is stale")
-        if verdict is Verdict.DEPARTURES:
-            return Outcome(verdict, Next.WAIT)
         return Outcome(verdict, Next.HOME if self.sources.answered(now) else Next.CALL)
 
-    def wait_ns(self) -> int:
-        """How long ``Next.WAIT`` is."""
-        return self.sources.around(self.stale_ns // 4)
-
     def moved(self, now: int) -> int:
         """Another address is called next: in how long, in ns."""
         return self.sources.failed(now)
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -108,8 +108,6 @@
             self.take_departures(news)
         if outcome.next.value == "move":
             self.move_on(outcome.why)
-        elif outcome.next.value == "wait":
-            self.call_in(self.subscription.wait_ns())
         else:
             if outcome.next.value == "home":
                 self.state.effects.append(m.Move(self.subscription.address))
--- a/benchmarks/capacity/processes.py
+++ b/kelplab/hollow/processes.py
@@ -1,9 +1,12 @@
-"""The processes of a scale test.  All of them end with the test that started them."""
+"""The processes of a scale test: the list service, hollow routers, control replicas and real routers.  All of
+them end with the test that started them."""
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -79,6 +82,65 @@
         yield found
 
 
+def free_port() -> int:
+    """A port of loopback that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+class ControlReplica:
+    """`kelpcroft control-replica` as a process that keeps its address over restarts."""
+
+    def __init__(self, folder: Path, name: str, upstreams: list[str], peers: list[str] | None = None,
+                 more: str = "", size: Size | None = None) -> None:
+        """``upstreams`` and ``peers`` as HOST:PORT; ``more``: further lines of its file."""
+        self.name, self.port = name, free_port()
+        self.file, self.config, self.log = (folder / f"{name}.{end}" for end in ("kdl", "json", "log"))
+        lines = ["control-replica version=1", f'listen "{self.address}"']
+        for node, found in (("list-service", upstreams), ("peer", peers or [])):
+            if found:
+                lines.append(f"{node} " + " ".join(f'"{x}"' for x in found))
+        self.file.write_text("\n".join([*lines, more]) + "\n")
+        raw = configuration(size or Size(), 0, "127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:2")
+        self.config.write_text(json.dumps(raw))
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        """A process, once it takes connections."""
+        words = ["control-replica", str(self.file), "--config", str(self.config), "--name", self.name,
+                 "--format", "json"]
+        with self.log.open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT,
+                stdout=log, stderr=log)
+        if not wait_for(lambda: self.state() is not None, 20):
+            raise RuntimeError(f"{self.name} does not serve: {self.log.read_text()[-2_000:]}")
+
+    def state(self) -> dict[str, Any] | None:
+        """What it says of itself, or None where nobody answers."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=2)
+        try:
+            connection.request("GET", "/control/state")
+            return json.loads(connection.getresponse().read())  # type: ignore[no-any-return]
+        except (OSError, http.client.HTTPException, ValueError):
+            return None
+        finally:
+            connection.close()
+
+    def signal(self, number: int) -> None:
+        assert self.process
+        self.process.send_signal(number)
+
+    def end(self) -> None:
+        if self.process:
+            self.process.kill()
+            self.process.wait()
+
+
 class RealRouter:
     """A router as `run` starts it.  A context manager."""
 
--- /dev/null
+++ b/tests/test_control_field.py
@@ -0,0 +1,177 @@
+"""Control replicas, a list service and routers as real processes, with faults between them.
+
+After each fault a purge and a drain are told: all routers have them in force, and calls stay bounded."""
+
+from __future__ import annotations
+
+import signal
+import time
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from kelplab.field import Field, Load, Mode, build
+from kelplab.field.field import RULES
+from kelplab.hollow.configuration import Size
+from kelplab.hollow.field import ControlField
+from kelplab.hollow.processes import ControlReplica, wait_for
+from kelplab.standin import PROGRAM
+
+SIZE = Size(routers=12, servers=40, zones=3)
+LEASE = 'lease "2s"'
+CALLS_MOST = 6               # of one router in a second: one each batch of 400 ms, and moves
+
+
+class Faults(unittest.TestCase):
+    def field(self, replicas: int = 2, services: int = 1) -> ControlField:
+        field = ControlField(SIZE, replicas, services, LEASE)
+        field.__enter__()
+        self.addCleanup(field.__exit__)
+        self.drained = 0
+        self.assertTrue(field.in_step(1, SIZE.servers), "at the start")
+        return field
+
+    def news(self, field: ControlField) -> int:
+        """A purge and a drain are told: the number of the drain, and how many servers are left."""
+        field.tell(do="history", purges=1, age_s=0)
+        self.drained += 1
+        return field.tell(do="status", server=f"s-{self.drained:04x}", status="leaving")
+
+    def assert_in_step(self, field: ControlField, what: str) -> None:
+        number = self.news(field)
+        self.assertTrue(field.in_step(number, SIZE.servers - self.drained), what)
+
+    def assert_calls_bounded(self, field: ControlField, over_s: float = 3.0) -> None:
+        """Over some seconds no replica hears more calls than its watchers may make."""
+        def heard() -> list[int]:
+            states = [replica.state() for replica in field.replicas]
+            return [state["answers"] + state["refusals"] if state else 0 for state in states]
+        before, began = heard(), time.monotonic()
+        time.sleep(over_s)
+        after, took = heard(), time.monotonic() - began
+        for one, other in zip(before, after, strict=True):
+            self.assertLessEqual((other - one) / took, CALLS_MOST * SIZE.routers)
+
+    def test_a_replica_killed_and_started_again(self) -> None:
+        field = self.field()
+        field.replicas[0].end()
+        self.assert_in_step(field, "one of two is dead")
+        self.assertEqual(field.watchers()[0], 0, "nobody calls a dead replica for long")
+        self.assert_calls_bounded(field)
+        field.replicas[0].start()
+        field.replicas[1].end()
+        self.assert_in_step(field, "the other is dead, the first is new")
+
+    def test_a_replica_stopped_and_woken(self) -> None:
+        """Its watches are open and silent meanwhile; woken, it knows nothing new and says so."""
+        field = self.field()
+        field.replicas[0].signal(signal.SIGSTOP)
+        self.assert_in_step(field, "one of two is stopped")
+        time.sleep(3.0)
+        field.replicas[0].signal(signal.SIGCONT)
+        self.assert_in_step(field, "it is woken")
+        self.assert_calls_bounded(field)
+
+    def test_a_replica_cut_from_upstream(self) -> None:
+        """It goes on answering, and says that it is stale: its watchers leave it."""
+        field = self.field()
+        field.upstream_relays[0].change(Mode.SILENT)
+        self.assert_in_step(field, "one of two is cut off")
+        self.assertTrue(wait_for(lambda: (field.replicas[0].state() or {}).get("stale"), 10), "it says so")
+        self.assertTrue(wait_for(lambda: field.watchers()[0] == 0, 10), "its watchers have left")
+        field.upstream_relays[0].change(Mode.PASS)
+        field.upstream_relays[0].drop()
+        self.assertTrue(wait_for(lambda: not (field.replicas[0].state() or {}).get("stale", True), 10))
+        self.assert_in_step(field, "it is back")
+
+    def test_links_to_watchers_that_lie(self) -> None:
+        """Silent, garbage, answers broken off, late: routers leave the replica behind such a link."""
+        field = self.field()
+        for mode in (Mode.SILENT, Mode.GARBAGE, Mode.CUT, Mode.DELAY, Mode.ONE_WAY):
+            with self.subTest(mode=mode.value):
+                field.watcher_relays[0].change(mode)
+                self.assert_in_step(field, mode.value)
+                self.assert_calls_bounded(field, 1.0)
+                field.watcher_relays[0].change(Mode.PASS)
+                field.watcher_relays[0].drop()
+                self.assert_in_step(field, f"after {mode.value}")
+
+    def test_a_list_service_that_counts_from_one_again(self) -> None:
+        field = self.field()
+        self.assert_in_step(field, "before")
+        self.assert_in_step(field, "before")
+        field.tell(do="restart")
+        self.assert_in_step(field, "numbers are lower than they were")
+        self.assert_in_step(field, "and grow past them")
+        self.assert_calls_bounded(field)
+
+    def test_half_of_the_routers_on_a_replica_that_lags(self) -> None:
+        """Its upstream link takes 0.3 to 0.6 s there and back: a drain is known everywhere all the same, and
+        routers that move between the two go neither back nor twice over the same."""
+        field = self.field()
+        field.upstream_relays[0].change(Mode.DELAY)
+        for _ in range(3):
+            self.assert_in_step(field, "one lags")
+        field.watcher_relays[1].drop()           # those of the quick one try another
+        self.assert_in_step(field, "some have moved to the one that lags")
+        self.assert_calls_bounded(field)
+
+    def test_two_replicas_that_disagree(self) -> None:
+        """Each watches a list service of its own, and one knows of drains that the other does not."""
+        field = self.field(services=2)
+        one, other = field.service_list
+        field.tell(one, do="status", server="s-0001", status="leaving")
+        field.tell(other, do="status", server="s-0002", status="leaving")
+        self.assertTrue(wait_for(lambda: set(field.routers.ask()["in_service"]) == {SIZE.servers - 1}, 10))
+        field.replicas[0].end()
+        number = field.tell(other, do="status", server="s-0003", status="leaving")
+        self.assertTrue(field.in_step(number, SIZE.servers - 2), "all are of the second's mind by now")
+
+    def test_upstream_dead_for_the_whole_time(self) -> None:
+        """Routers keep what they know, and calls at the replicas stay bounded."""
+        field = self.field()
+        self.assert_in_step(field, "before")
+        field.service.end()
+        time.sleep(4.0)                          # past the lease
+        self.assertTrue(all((replica.state() or {}).get("stale") for replica in field.replicas))
+        self.assert_calls_bounded(field)
+        self.assertEqual(set(field.routers.ask()["in_service"]), {SIZE.servers - 1}, "nothing is forgotten")
+
+
+class UnderLoad(unittest.TestCase):
+    def test_rules_hold_while_a_replica_dies_and_a_server_drains(self) -> None:
+        """Routers with clients and servers: on the event of the drain the replica of half of them is
+        killed."""
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        builds = {"old": PROGRAM, "new": build(Path(folder.name) / "new", "sound")}
+        field = Field(2, 2, builds, boxes=3)
+        replicas = [ControlReplica(Path(folder.name), f"r{n}", [field.world.at("feed")]) for n in range(2)]
+        field.node_rules = RULES + "replicas " + " ".join(f'"{r.address}"' for r in replicas) + "\n"
+        for replica in replicas:
+            self.addCleanup(replica.end)
+            replica.start()
+        field.__enter__()
+        self.addCleanup(field.__exit__)
+        with Load(field) as load:
+            self.assertTrue(wait_for(lambda: load.count["served"] > 200, 30), load.count)
+            watched: list[int] = []
+
+            def all_watch() -> bool:
+                watched[:] = [(replica.state() or {"watches": 0})["watches"] for replica in replicas]
+                return sum(watched) == 4
+
+            self.assertTrue(wait_for(all_watch, 20), "all routers watch replicas")
+            dead = watched.index(max(watched))
+            replicas[dead].end()
+            number = field.world.change("cache-z0", "leaving")
+            other = replicas[1 - dead]
+            self.assertTrue(wait_for(lambda: (other.state() or {}).get("last", 0) >= number, 20))
+            served = load.count["served"]
+            self.assertTrue(wait_for(lambda: load.count["served"] > served + 200, 30), load.count)
+        self.assertEqual(load.count["lost"], 0, load.count)
+        self.assertEqual(field.watch(load).found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
