--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,245 @@
+"""Scale tests of all roles, written to docs/capacity/*.json.
+
+    python -m benchmarks.capacity                       all sweeps; some ten minutes
+    python -m benchmarks.capacity --quick               small ones of each, within a minute; nothing is written
+    python -m benchmarks.capacity --only feed,replicas  some of them
+    python -m benchmarks.capacity --before DIR          the sweep `behind` on a compiled earlier program as well
+    python -m benchmarks.capacity --page                docs/CAPACITY.md anew from what is written there
+
+A row has the median, the least and the most of its rounds.  Nothing else may run on the machine meanwhile.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import platform
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from benchmarks.capacity import feed, page, replicas, requests
+from kelplab.hollow.configuration import Size
+from kelplab.standin import ROOT
+
+FOLDER = ROOT / "docs/capacity"
+COMPILED = ROOT / ".compiled/now"
+RATE = 5.1  # purges a second at the size to come
+SECONDS = 5.0  # of each run
+AGES = {
+    306: 60,
+    3_060: 600,
+    18_360: 3_600,
+    100_000: 19_600,
+    440_640: 86_400,
+}  # events behind, and over how long
+
+Run = Callable[[], dict[str, Any]]
+
+
+def flat(found: dict[str, Any], before: str = "") -> dict[str, float]:
+    """A run's figures under one name each."""
+    rows: dict[str, float] = {}
+    for key, value in found.items():
+        if isinstance(value, dict):
+            rows |= flat(value, f"{before}{key}.")
+        else:
+            rows[before + key] = float(value)
+    return rows
+
+
+def rounds(runs: int, run: Run) -> dict[str, dict[str, float]]:
+    """Each figure over several rounds."""
+    found = [flat(run()) for _ in range(runs)]
+    return {
+        key: {
+            "median": median(row[key] for row in found),
+            "least": min(row[key] for row in found),
+            "most": max(row[key] for row in found),
+        }
+        for key in found[0]
+    }
+
+
+def slope(points: list[tuple[float, float]]) -> dict[str, float]:
+    """The straight line of least squares through some points, and how far they lie from it."""
+    n = len(points)
+    mean_x, mean_y = sum(x for x, _ in points) / n, sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread if spread else 0.0
+    start = mean_y - rise * mean_x
+    residual = max(abs(y - start - rise * x) for x, y in points)
+    return {"slope": rise, "intercept": start, "residual": residual}
+
+
+def sweeps(quick: bool, before: Path | None) -> dict[str, tuple[str, dict[float, Run]]]:
+    """Every sweep: by what, and the run at each value."""
+    s, short = (2.0, 1.0) if quick else (SECONDS, 3.0)
+
+    def at(*values: float) -> tuple[float, ...]:
+        return values[1:2] if quick else values
+
+    base = 20 if quick else 100
+    return {
+        "routers": (
+            "routers",
+            {
+                n: lambda n=n: feed.spread(Size(routers=int(n)), RATE, s)  # type: ignore[misc]
+                for n in at(50, 150, 300, 590)
+            },
+        ),
+        "purges": (
+            "purges_per_s",
+            {
+                p: lambda p=p: feed.spread(Size(routers=base), p, s)  # type: ignore[misc]
+                for p in at(0.5, 2, 5.1, 10, 20)
+            },
+        ),
+        "servers": (
+            "servers",
+            {
+                n: lambda n=n: feed.spread(Size(base, int(n)), RATE, s)  # type: ignore[misc]
+                for n in at(30, 80, 150)
+            },
+        ),
+        "zones": (
+            "zones",
+            {
+                n: lambda n=n: feed.spread(Size(base, 150, int(n)), RATE, s)  # type: ignore[misc]
+                for n in at(1, 6, 19)
+            },
+        ),
+        "behind": (
+            "events",
+            {
+                n: lambda n=n: feed.behind(int(n), AGES[int(n)], COMPILED, 60)  # type: ignore[misc]
+                for n in at(*AGES)
+            },
+        ),
+        **(
+            {
+                "behind_before": (
+                    "events",
+                    {
+                        n: lambda n=n: feed.behind(int(n), AGES[int(n)], before, 15)  # type: ignore[misc]
+                        for n in at(*AGES)
+                    },
+                )
+            }
+            if before
+            else {}
+        ),
+        "behind_replica": (
+            "events",
+            {
+                n: lambda n=n: replicas.behind(int(n), AGES[int(n)], COMPILED, 30)  # type: ignore[misc]
+                for n in at(*AGES)
+            },
+        ),
+        "replicas": (
+            "routers",
+            {
+                n: lambda n=n: replicas.spread(Size(routers=int(n)), RATE, s, 2 if quick else 4)  # type: ignore[misc]
+                for n in at(150, 590)
+            },
+        ),
+        "replicas_one_dead": (
+            "routers",
+            {
+                n: lambda n=n: replicas.spread(Size(routers=int(n)), RATE, s, 4, 1)  # type: ignore[misc]
+                for n in (590,)
+            }
+            if not quick
+            else {},
+        ),
+        "replicas_purges": (
+            "purges_per_s",
+            {
+                p: lambda p=p: replicas.spread(Size(routers=base), p, s, 2)  # type: ignore[misc]
+                for p in (0.5, 5.1, 20)
+            }
+            if not quick
+            else {},
+        ),
+        "requests": (
+            "requests_per_s",
+            {
+                r: lambda r=r: requests.served(r, 1_000, short, COMPILED)  # type: ignore[misc]
+                for r in at(200, 400, 814, 1_200, 1_600, 2_400)
+            },
+        ),
+        "bytes": (
+            "bytes",
+            {
+                b: lambda b=b: requests.served(300, int(b), short, COMPILED)  # type: ignore[misc]
+                for b in at(1_000, 20_000, 60_000, 120_000, 240_000)
+            },
+        ),
+    }
+
+
+def commit() -> str:
+    """The commit that is measured, with a sign where the tree is another."""
+    words = ["git", "describe", "--always", "--dirty", "--abbrev=7", "--exclude=*"]
+    return subprocess.run(words, cwd=ROOT, capture_output=True, text=True).stdout.strip()
+
+
+def measured(name: str, by: str, runs: dict[float, Run], count: int) -> dict[str, Any]:
+    """One sweep."""
+    rows = []
+    for x, run in runs.items():
+        began = time.monotonic()
+        rows.append({"x": x, "figures": rounds(count, run)})
+        print(f"{name} {by}={x:g}: {time.monotonic() - began:.0f} s", file=sys.stderr, flush=True)
+    keys = rows[0]["figures"] if rows else {}
+    lines = (
+        {key: slope([(row["x"], row["figures"][key]["median"]) for row in rows]) for key in keys}
+        if len(rows) > 1
+        else {}
+    )
+    return {
+        "sweep": name,
+        "by": by,
+        "commit": commit(),
+        "rounds": count,
+        "command": f"python -m benchmarks.capacity --only {name}",
+        "machine": f"8 cores, {platform.machine()}, Python {platform.python_version()}",
+        "rows": rows,
+        "slopes": lines,
+    }
+
+
+def main() -> None:
+    """The sweeps that were asked for."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--before", type=Path)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--page", action="store_true")
+    options = parser.parse_args()
+    if options.page:
+        page.PAGE.write_text(page.whole())
+        return
+    found = sweeps(options.quick, options.before)
+    wanted = options.only.split(",") if options.only else list(found)
+    for name in wanted:
+        by, runs = found[name]
+        if not runs:
+            continue
+        told = measured(name, by, runs, 1 if options.quick else options.rounds)
+        if options.quick:
+            print(json.dumps(told))
+            continue
+        FOLDER.mkdir(exist_ok=True)
+        (FOLDER / f"{name}.json").write_text(json.dumps(told, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/capacity/feed.py
+++ b/benchmarks/capacity/feed.py
@@ -11,7 +11,7 @@
 from kelplab.hollow.configuration import Size
 from kelplab.hollow.processes import Asked, RealRouter, folder, hollow_routers, list_service, wait_for
 
-SETTLE_S = 3.0               # after the start of all routers, before anything is counted
+SETTLE_S = 3.0  # after the start of all routers, before anything is counted
 ONE = Size(routers=1)
 
 
@@ -34,8 +34,9 @@
     return found
 
 
-def steady(size: Size, rate: float, seconds: float, rules: str = "", feed: str = "",
-           service: Asked | None = None) -> dict[str, Any]:
+def steady(
+    size: Size, rate: float, seconds: float, rules: str = "", feed: str = "", service: Asked | None = None
+) -> dict[str, Any]:
     """Hollow routers under a steady rate of purges.  ``feed``: where they watch, if not the list service."""
     with ExitStack() as stack:
         if service is None:
@@ -54,22 +55,29 @@
         after = service.ask(do="stats")
         took = time.monotonic() - began
         spent = sum(p.ask()["cpu_s"] for p in fleet) - sum(cpu)
-        wait_for(lambda: False, 1.0)         # the last events reach the last routers
+        wait_for(lambda: False, 1.0)  # the last events reach the last routers
         reports = [process.ask() for process in fleet]
-        return {**counted(size, before, after, took), "router_cpu_share": spent / took / size.routers,
-                "router_memory_kb": sum(r["memory_kb"] for r in reports) / size.routers}
+        return {
+            **counted(size, before, after, took),
+            "router_cpu_share": spent / took / size.routers,
+            "router_memory_kb": sum(r["memory_kb"] for r in reports) / size.routers,
+        }
 
 
 def counted(size: Size, before: dict[str, Any], after: dict[str, Any], took: float) -> dict[str, Any]:
     """The list service's figures between two looks."""
     calls = (after["calls"] - before["calls"]) / took
-    return {"seconds": round(took, 2), "service_calls_per_s": calls,
-            "calls_per_router_s": calls / size.routers,
-            "service_bytes_out_per_s": (after["bytes_out"] - before["bytes_out"]) / took,
-            "service_bytes_in_per_s": (after["bytes_in"] - before["bytes_in"]) / took,
-            "service_cpu_share": (after["cpu_s"] - before["cpu_s"]) / took,
-            "service_memory_kb": after["memory_kb"], "watches": after["watches"],
-            "accepted": after["accepted"] - before["accepted"]}
+    return {
+        "seconds": round(took, 2),
+        "service_calls_per_s": calls,
+        "calls_per_router_s": calls / size.routers,
+        "service_bytes_out_per_s": (after["bytes_out"] - before["bytes_out"]) / took,
+        "service_bytes_in_per_s": (after["bytes_in"] - before["bytes_in"]) / took,
+        "service_cpu_share": (after["cpu_s"] - before["cpu_s"]) / took,
+        "service_memory_kb": after["memory_kb"],
+        "watches": after["watches"],
+        "accepted": after["accepted"] - before["accepted"],
+    }
 
 
 def spread(size: Size, rate: float, seconds: float, rules: str = "", feed: str = "") -> dict[str, Any]:
@@ -91,7 +99,7 @@
     service.ask(do="purge", rate=rate, seconds=seconds)
     time.sleep(seconds)
     after, took = service.ask(do="stats"), time.monotonic() - began
-    time.sleep(2.0)                          # the last events reach the last routers
+    time.sleep(2.0)  # the last events reach the last routers
     reports = [process.ask() for process in fleet]
     told = service.ask(do="stats")
     born = dict(enumerate(told["born"], told["n"] - len(told["born"]) + 1))
@@ -99,17 +107,28 @@
     times = in_force(born, [router for report in reports for router in report["seen"]])
     whole = [event for event in times if len(event) == size.routers]
     every, last = [x for event in whole for x in event], [max(event) for event in whole]
-    return {**counted(size, before, after, took), "events": len(born), "events_everywhere": len(whole),
-            "router_cpu_share": (sum(r["cpu_s"] for r in reports) - cpu) / (took + 2.0) / size.routers,
-            "router_memory_kb": sum(r["memory_kb"] for r in reports) / size.routers,
-            "in_force_ms": {"median": median(every) if every else 0, "p99": quantile(every, 0.99),
-                            "p999": quantile(every, 0.999)},
-            "last_router_ms": {"median": median(last) if last else 0, "p99": quantile(last, 0.99),
-                               "most": max(last, default=0)}}
-
-
-def behind(events: int, age_s: float, program: Path, longest_s: float, rules: str = "",
-           size: Size = ONE) -> dict[str, Any]:
+    return {
+        **counted(size, before, after, took),
+        "events": len(born),
+        "events_everywhere": len(whole),
+        "router_cpu_share": (sum(r["cpu_s"] for r in reports) - cpu) / (took + 2.0) / size.routers,
+        "router_memory_kb": sum(r["memory_kb"] for r in reports) / size.routers,
+        "in_force_ms": {
+            "median": median(every) if every else 0,
+            "p99": quantile(every, 0.99),
+            "p999": quantile(every, 0.999),
+        },
+        "last_router_ms": {
+            "median": median(last) if last else 0,
+            "p99": quantile(last, 0.99),
+            "most": max(last, default=0),
+        },
+    }
+
+
+def behind(
+    events: int, age_s: float, program: Path, longest_s: float, rules: str = "", size: Size = ONE
+) -> dict[str, Any]:
     """One router as `run` starts it, so many events behind: how it gets back into step."""
     with list_service(size) as service, folder() as scratch:
         feed = f"127.0.0.1:{service.first['port']}"
@@ -128,11 +147,17 @@
                 told = service.ask(do="stats")
                 seen.append((told["calls"], told["bytes_out"]))
                 return len(seen) > 10 and seen[-1][1] - seen[-11][1] < 300
+
             done = wait_for(in_step, longest_s, 0.1)
             took, after = time.monotonic() - began, service.ask(do="stats")
-            return {"events": events, "caught_up": done, "seconds": round(took - (1.0 if done else 0), 2),
-                    "calls": after["calls"] - before["calls"],
-                    "bytes": after["bytes_out"] - before["bytes_out"],
-                    "usual_memory_kb": usual_kb, "memory_kb_most": router.memory_kb(most=True),
-                    "cpu_s": round(router.cpu_s() - cpu, 2),
-                    "log_lines": sum("feed." in line for line in router.log.read_text().splitlines())}
+            return {
+                "events": events,
+                "caught_up": done,
+                "seconds": round(took - (1.0 if done else 0), 2),
+                "calls": after["calls"] - before["calls"],
+                "bytes": after["bytes_out"] - before["bytes_out"],
+                "usual_memory_kb": usual_kb,
+                "memory_kb_most": router.memory_kb(most=True),
+                "cpu_s": round(router.cpu_s() - cpu, 2),
+                "log_lines": sum("feed." in line for line in router.log.read_text().splitlines()),
+            }
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,71 @@
+"""docs/CAPACITY.md: its tables from docs/capacity/*.json, its words from docs/capacity/page.md."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any
+
+from kelplab.standin import ROOT
+
+PAGE = ROOT / "docs/CAPACITY.md"
+FOLDER = ROOT / "docs/capacity"
+MARK = re.compile(r"\{\{([^{}]+)\}\}")
+
+
+def whole() -> str:
+    """The page."""
+    return MARK.sub(lambda found: filled(found[1].strip()), (FOLDER / "page.md").read_text())
+
+
+def filled(text: str) -> str:
+    """``table SWEEP FIGURE[*FACTOR][:DIGITS] ...`` as a table, ``value SWEEP X FIGURE...`` as one figure, and
+    ``slope SWEEP FIGURE`` as a slope with its intercept and residual."""
+    what, name, *words = text.split()
+    path = FOLDER / f"{name}.json"
+    if not path.exists():
+        return "not measured"
+    told: dict[str, Any] = json.loads(path.read_text())
+    if what == "table":
+        return table(told, words)
+    if what == "value":
+        row = next((row for row in told["rows"] if row["x"] == float(words[0])), None)
+        return shown(row["figures"], words[1]) if row else "not measured"
+    if what == "slope":
+        key, factor, digits = read(words[0])
+        line = told["slopes"][key]
+        rise, start, off = (
+            f"{line[part] * factor:.{digits}f}" for part in ("slope", "intercept", "residual")
+        )
+        return f"{rise} each, from {start}, within {off}"
+    if what == "commit":
+        return str(told["commit"])
+    raise ValueError(f"{what!r} is not table, value, slope or commit")
+
+
+def read(word: str) -> tuple[str, float, int]:
+    """A figure's name, what it is multiplied by, and its digits behind the point."""
+    word, _, digits = word.partition(":")
+    key, _, factor = word.partition("*")
+    return key, float(factor or 1), int(digits or 0)
+
+
+def shown(figures: dict[str, dict[str, float]], word: str) -> str:
+    """A figure's median, with the least and the most where they differ."""
+    key, factor, digits = read(word)
+    if key not in figures:
+        return "not measured"
+    middle, least, most = (
+        f"{figures[key][part] * factor:.{digits}f}" for part in ("median", "least", "most")
+    )
+    return middle if least == most else f"{middle} ({least} to {most})"
+
+
+def table(told: dict[str, Any], words: list[str]) -> str:
+    """Rows by the sweep's quantity."""
+    heads = [told["by"], *(word.partition(":")[0].partition("*")[0] for word in words)]
+    lines = ["| " + " | ".join(heads) + " |", "| " + " | ".join("---" for _ in heads) + " |"]
+    for row in told["rows"]:
+        cells = [f"{row['x']:g}", *(shown(row["figures"], word) for word in words)]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
--- /dev/null
+++ b/benchmarks/capacity/replicas.py
@@ -0,0 +1,114 @@
+"""The same fleet with control replicas between it and the list service."""
+
+from __future__ import annotations
+
+import signal
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+from benchmarks.capacity.feed import watched
+from kelplab.hollow.configuration import Size
+from kelplab.hollow.processes import (
+    ControlReplica,
+    RealRouter,
+    cpu_s,
+    folder,
+    hollow_routers,
+    list_service,
+    memory_kb,
+    wait_for,
+)
+
+MOVED_S = 4.0  # after a replica's death its routers are at others by then
+
+
+def spread(size: Size, rate: float, seconds: float, count: int = 4, dead: int = 0) -> dict[str, Any]:
+    """Purges at a rate, told through ``count`` replicas of which ``dead`` are killed before."""
+    with ExitStack() as stack:
+        service = stack.enter_context(list_service(size))
+        scratch = stack.enter_context(folder())
+        replicas = [
+            ControlReplica(scratch, f"r{n}", [f"127.0.0.1:{service.first['port']}"], size=size)
+            for n in range(count)
+        ]
+        for replica in replicas:
+            stack.callback(replica.end)
+            replica.start()
+        rules = scratch / "rules.kdl"
+        addresses = " ".join(f'"{r.address}"' for r in replicas)
+        rules.write_text(f"kelpcroft version=1\nreplicas {addresses}\n")
+        fleet = stack.enter_context(hollow_routers(size, "127.0.0.1:1", str(rules)))
+        time.sleep(MOVED_S)
+        for replica in replicas[:dead]:
+            replica.end()
+        time.sleep(MOVED_S if dead else 0)
+        alive = replicas[dead:]
+        before = [figures(replica) for replica in alive]
+        began = time.monotonic()
+        found = watched(service, fleet, size, rate, seconds)
+        took = time.monotonic() - began
+        after = [figures(replica) for replica in alive]
+        spent = [
+            {key: (b[key] - a[key]) / took for key in ("answers", "bytes_out", "cpu_s")}
+            for a, b in zip(before, after, strict=True)
+        ]
+        return {
+            **found,
+            "replicas": count,
+            "dead": dead,
+            "replica_calls_per_s": max(x["answers"] for x in spent),
+            "replica_bytes_out_per_s": max(x["bytes_out"] for x in spent),
+            "replica_cpu_share": max(x["cpu_s"] for x in spent),
+            "replica_memory_kb": max(x["memory_kb"] for x in after),
+            "router_calls_per_s": sum(x["answers"] for x in spent) / size.routers,
+            "router_bytes_per_s": sum(x["bytes_out"] for x in spent) / size.routers,
+            "refusals": sum(x["refusals"] for x in after),
+        }
+
+
+def figures(replica: ControlReplica) -> dict[str, float]:
+    """What a replica has done and spent so far."""
+    state = replica.state()
+    assert state and replica.process
+    return {
+        **{key: float(state[key]) for key in ("answers", "bytes_out", "refusals", "watches")},
+        "cpu_s": cpu_s(replica.process.pid),
+        "memory_kb": memory_kb(replica.process.pid),
+    }
+
+
+def behind(events: int, age_s: float, program: Path, longest_s: float) -> dict[str, Any]:
+    """One router as `run` starts it at a replica, stopped while so many events are told, and woken."""
+    size = Size(routers=1)
+    with ExitStack() as stack:
+        service = stack.enter_context(list_service(size))
+        scratch = stack.enter_context(folder())
+        replica = ControlReplica(scratch, "r0", [f"127.0.0.1:{service.first['port']}"], size=size)
+        stack.callback(replica.end)
+        replica.start()
+        rules = scratch / "rules.kdl"
+        rules.write_text(f'kelpcroft version=1\nreplicas "{replica.address}"\n')
+        router = stack.enter_context(RealRouter(size, 0, "127.0.0.1:1", program, scratch, str(rules)))
+        time.sleep(5.0)  # past the first states
+        router.process.send_signal(signal.SIGSTOP)
+        usual_kb, cpu = router.memory_kb(), router.cpu_s()
+        last = service.ask(do="history", purges=events, age_s=age_s)["n"]
+        assert wait_for(lambda: (replica.state() or {}).get("last") == last, 60)
+        time.sleep(1.5)  # what waits for the stopped router has been answered
+        before = figures(replica)
+        router.process.send_signal(signal.SIGCONT)
+        began = time.monotonic()
+        done = wait_for(lambda: (replica.state() or {}).get("in_step") == 1, longest_s)
+        took, after = time.monotonic() - began, figures(replica)
+        return {
+            "events": events,
+            "caught_up": done,
+            "seconds": round(took, 2),
+            "calls": after["answers"] - before["answers"],
+            "bytes": after["bytes_out"] - before["bytes_out"],
+            "usual_memory_kb": usual_kb,
+            "memory_kb_most": router.memory_kb(most=True),
+            "cpu_s": round(router.cpu_s() - cpu, 2),
+        }
--- /dev/null
+++ b/benchmarks/capacity/requests.py
@@ -0,0 +1,59 @@
+"""What a request costs one router as `run` starts it: by requests a second and by bytes of the answer."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from kelplab.hollow.configuration import Size
+from kelplab.hollow.processes import Asked, RealRouter, folder, wait_for
+from kelplab.standin import ROOT
+
+ONE = Size(routers=1, servers=12, zones=1)
+
+
+def served(rate: float, size_bytes: int, seconds: float, program: Path) -> dict[str, Any]:
+    """One router under so many requests a second, each answered with so many bytes."""
+    servers = Asked(["-m", "kelplab.hollow.servers", "--bytes", str(size_bytes)])
+    try:
+        with folder() as scratch:
+            known = {"n": 1, "events": [servers.first["members"]]}
+            with RealRouter(
+                ONE, 0, servers.first["feed"], program, scratch, known=known, example=True
+            ) as router:
+                assert wait_for(router.answers, 20), router.log.read_text()
+                load(router, 50, 1)
+                before = router.cpu_s()
+                told = load(router, rate, seconds)
+                cpu = router.cpu_s() - before
+                return {
+                    **told,
+                    "rate": rate,
+                    "bytes": size_bytes,
+                    "cpu_share": cpu / seconds,
+                    "cpu_us_per_request": 1e6 * cpu / max(1, told["sent"]),
+                    "served_share": told["served"] / max(1, told["sent"]),
+                    "memory_kb": router.memory_kb(most=True),
+                }
+    finally:
+        servers.end()
+
+
+def load(router: RealRouter, rate: float, seconds: float) -> dict[str, Any]:
+    """Requests from a process of their own."""
+    words = [
+        sys.executable,
+        "-m",
+        "kelplab.hollow.load",
+        "--to",
+        router.listen,
+        "--rate",
+        str(rate),
+        "--seconds",
+        str(seconds),
+    ]
+    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=60 + seconds, check=True)
+    return json.loads(done.stdout)  # type: ignore[no-any-return]
--- a/kelpcroft/cli/control_replica.py
+++ b/kelpcroft/cli/control_replica.py
@@ -36,8 +36,14 @@
 @config_option(required=True)
 @click.option("--name", default="control-replica", show_default=True, help="Its name in the log.")
 @click.option("--dry-run", is_flag=True, help="Only check FILE and CONFIG, and say what would be served.")
-@click.option("--format", "form", type=click.Choice(["auto", "text", "json"]), default="auto",
-              show_default=True, help="How log lines are printed; auto is text on a terminal.")
+@click.option(
+    "--format",
+    "form",
+    type=click.Choice(["auto", "text", "json"]),
+    default="auto",
+    show_default=True,
+    help="How log lines are printed; auto is text on a terminal.",
+)
 def control_replica(file: str, config: str, name: str, dry_run: bool, form: str) -> None:
     """Follow the list service, or another replica, as FILE says, and tell routers the list of servers and the
     purges in the same form.  CONFIG is the configuration of any of the routers: it tells how long purges
@@ -49,8 +55,10 @@
     span_ns = settings_of(config).rules.purge_span_ns
     if dry_run:
         up = ", ".join(f"{host}:{port}" for host, port in (*said.list_services, *said.peers))
-        click.echo(f"{file}: good; would serve {said.watches} watchers at {said.listen[0]}:{said.listen[1]} "
-                   f"from {up}; a purge matters for {span_ns / 1e9:g} s")
+        click.echo(
+            f"{file}: good; would serve {said.watches} watchers at {said.listen[0]}:{said.listen[1]} "
+            f"from {up}; a purge matters for {span_ns / 1e9:g} s"
+        )
         return
     sys.exit(serve(said, span_ns, name, "" if form == "auto" else form))
 
@@ -64,14 +72,21 @@
     from kelpcroft.net.clock import Clock
     from kelpcroft.net.listeners import bound, where
     from kelpcroft.net.replica import ReplicaLoop
+
     ours, theirs = os.pipe()
     for end in (ours, theirs):
         os.set_blocking(end, False)
     signal.set_wakeup_fd(theirs, warn_on_full_buffer=False)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
-    options = Options((*said.list_services, *said.peers), frozenset(said.peers), said.lease_ns, said.batch_ns,
-                      said.watches, span_ns)
+    options = Options(
+        (*said.list_services, *said.peers),
+        frozenset(said.peers),
+        said.lease_ns,
+        said.batch_ns,
+        said.watches,
+        span_ns,
+    )
     try:
         listener = bound("listen", said.listen)
     except ConfigError as error:
--- a/kelpcroft/controllog/follower.py
+++ b/kelpcroft/controllog/follower.py
@@ -17,14 +17,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-CLOCK_SKEW_MS = 1_000        # clocks of two control machines differ by less
+CLOCK_SKEW_MS = 1_000  # clocks of two control machines differ by less
 
 
 @dataclass(frozen=True, slots=True)
 class Position:
     """Up to where a log is known."""
 
-    number: int = 0          # 0 = nothing is known: the whole state is wanted
+    number: int = 0  # 0 = nothing is known: the whole state is wanted
     mark: str = ""
 
 
@@ -35,16 +35,16 @@
     last: int
     mark: str
     as_of_ms: int
-    whole: bool              # it holds the whole list
+    whole: bool  # it holds the whole list
 
 
 class Verdict(Enum):
     """What to do with an answer."""
 
-    TAKE = "take"            # as it stands; the position moves
+    TAKE = "take"  # as it stands; the position moves
     DEPARTURES = "departures"  # only what goes and what is purged, until a state is known to be later
-    RESYNC = "resync"        # it is of a later log: ask this replica for the whole state
-    BEHIND = "behind"        # it is of an earlier state than what is known: ask another replica
+    RESYNC = "resync"  # it is of a later log: ask this replica for the whole state
+    BEHIND = "behind"  # it is of an earlier state than what is known: ask another replica
 
 
 class Follower:
@@ -55,8 +55,8 @@
         nothing."""
         self.position = Position()
         self.as_of_ms = as_of_ms  # of the latest state that was taken
-        self.resync = False      # the next call asks for the whole state
-        self.doubtful = False    # the position is of a log whose state has not been taken
+        self.resync = False  # the next call asks for the whole state
+        self.doubtful = False  # the position is of a log whose state has not been taken
 
     def asks(self) -> Position:
         """The position that the next call names."""
--- a/kelpcroft/controllog/log.py
+++ b/kelpcroft/controllog/log.py
@@ -15,10 +15,10 @@
 
 import orjson
 
-TAIL_EVENTS = 8_192          # 27 minutes of 5 purges a second
+TAIL_EVENTS = 8_192  # 27 minutes of 5 purges a second
 TAIL_BYTES = 2 << 20
 SERVERS_MOST = 10_000
-PURGES_MOST = 20_000         # that matter at a time: 300 a second for a minute
+PURGES_MOST = 20_000  # that matter at a time: 300 a second for a minute
 MARK_BYTES = 8
 
 
@@ -51,14 +51,14 @@
     def __init__(self, purge_span_ms: int) -> None:
         """``purge_span_ms``: how long a purge matters, counted from its time."""
         self.purge_span_ms = purge_span_ms
-        self.lines: dict[str, Any] = {}                  # by server's name, as it came
-        self.purges: dict[tuple[str, int], int] = {}     # by object, or by group where that is "": when, ms
+        self.lines: dict[str, Any] = {}  # by server's name, as it came
+        self.purges: dict[tuple[str, int], int] = {}  # by object, or by group where that is "": when, ms
         self.tail: deque[Entry] = deque()
         self.tail_bytes = 0
-        self.base = 0                                    # the number before the tail, and its mark
+        self.base = 0  # the number before the tail, and its mark
         self.base_mark = ""
-        self.incomplete_ms = 0                           # no snapshot until then: a purge found no room
-        self.snapshot_at: tuple[int, int] = (-1, 0)      # number and time of the snapshot that is kept
+        self.incomplete_ms = 0  # no snapshot until then: a purge found no room
+        self.snapshot_at: tuple[int, int] = (-1, 0)  # number and time of the snapshot that is kept
         self.snapshot_events: list[bytes] = []
 
     @property
@@ -116,7 +116,7 @@
             self.lines = lines
         else:
             self.lines.update(lines)
-        if len(self.lines) > SERVERS_MOST:               # servers that have gone are not listed for good
+        if len(self.lines) > SERVERS_MOST:  # servers that have gone are not listed for good
             self.lines = {name: line for name, line in self.lines.items() if line.get("status") != "left"}
 
     def apply_purge(self, purge: dict[str, Any], now_ms: int) -> None:
--- a/kelpcroft/controllog/replica.py
+++ b/kelpcroft/controllog/replica.py
@@ -25,13 +25,13 @@
 
 MS = 1_000_000
 SECOND = 1_000 * MS
-UPSTREAM_WAIT_NS = SECOND    # a call waits so long for news: the state is known to be complete as often
+UPSTREAM_WAIT_NS = SECOND  # a call waits so long for news: the state is known to be complete as often
 UPSTREAM_LATE_NS = 400 * MS  # past its wait an answer has come by then, or the connection is given up
-HASTY_SHARE = 4              # a call that is to be answered at once may follow in a part of the batch's time
-EARLY_NS = 100 * MS          # a watcher's call is answered so much before its wait is over
-WAIT_MOST_NS = 5 * SECOND    # no call waits longer (the protocol's bound)
-BODIES_KEPT = 16             # encoded answers kept for other watchers of the same position
-RETRY_S = 1                  # a watcher that is refused is told to come back after this
+HASTY_SHARE = 4  # a call that is to be answered at once may follow in a part of the batch's time
+EARLY_NS = 100 * MS  # a watcher's call is answered so much before its wait is over
+WAIT_MOST_NS = 5 * SECOND  # no call waits longer (the protocol's bound)
+BODIES_KEPT = 16  # encoded answers kept for other watchers of the same position
+RETRY_S = 1  # a watcher that is refused is told to come back after this
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +63,7 @@
 
     watcher: int
     position: Position
-    marked: bool                 # it knows of marks; else its number is all it has
+    marked: bool  # it knows of marks; else its number is all it has
     wait_ns: int
 
 
@@ -116,7 +116,7 @@
     watch: Watch
     since_ns: int
     until_ns: int
-    due_ns: int = 0              # its entry in the heap that counts
+    due_ns: int = 0  # its entry in the heap that counts
 
 
 class Replica:
@@ -127,13 +127,13 @@
         self.log = ControlLog(options.purge_span_ns // MS)
         self.follower = Follower()
         self.sources = Sources(options.upstreams, seed)
-        self.waiting: dict[int, Waiting] = {}            # by watcher
-        self.answered_ns: dict[int, int] = {}            # by watcher: when it was last answered
-        self.heap: list[tuple[int, int]] = []            # when to look at which watcher
-        self.bodies: dict[Position, bytes] = {}          # answers as of now, by the position asked for
+        self.waiting: dict[int, Waiting] = {}  # by watcher
+        self.answered_ns: dict[int, int] = {}  # by watcher: when it was last answered
+        self.heap: list[tuple[int, int]] = []  # when to look at which watcher
+        self.bodies: dict[Position, bytes] = {}  # answers as of now, by the position asked for
         self.called_ns = 0
-        self.unsure = False      # the connection was lost: is it the same log still?
-        self.told = False        # the last answer from upstream brought something
+        self.unsure = False  # the connection was lost: is it the same log still?
+        self.told = False  # the last answer from upstream brought something
         self.stale = True
         self.effects: list[Effect] = []
         self.counts = {"answers": 0, "snapshots": 0, "refusals": 0, "upstream_calls": 0, "moves": 0}
@@ -194,8 +194,12 @@
         other = self.unsure and self.log.last and not self.repeats(feed.events)
         if other or not feed.more and feed.last < self.log.last:
             before, f.resync, self.unsure = self.log.last, True, False
-            self.note("upstream.renumbered", f"it counts anew: {feed.last} after {before}: the whole list is "
-                      "asked for", {"before": before, "after": feed.last}, "warning")
+            self.note(
+                "upstream.renumbered",
+                f"it counts anew: {feed.last} after {before}: the whole list is asked for",
+                {"before": before, "after": feed.last},
+                "warning",
+            )
             self.call(now, 0, anew=True)
             return
         self.unsure = False
@@ -209,12 +213,16 @@
 
     def repeats(self, events: tuple[Any, ...]) -> bool:
         """Whether the last event that is known is told again as it was."""
-        return any(isinstance(raw, dict) and raw.get("n") == self.log.last
-                   and mark_of(canonical(raw)) == self.log.mark for raw in events)
+        return any(
+            isinstance(raw, dict)
+            and raw.get("n") == self.log.last
+            and mark_of(canonical(raw)) == self.log.mark
+            for raw in events
+        )
 
     def on_peer(self, now: int, feed: Feed) -> None:
         """Another replica's answer may be of an earlier state than this one's."""
-        self.unsure = True       # numbers of a list service that is asked after it are to be held against it
+        self.unsure = True  # numbers of a list service that is asked after it are to be held against it
         if feed.more or feed.as_of_ms is None:
             self.move(now, "it does not answer as a control replica")
             return
@@ -303,6 +311,10 @@
         """Whether the state was complete within the lease."""
         return bool(self.follower.as_of_ms) and now - self.follower.as_of_ms * MS <= self.options.lease_ns
 
+    def in_step(self) -> int:
+        """How many watchers wait at the last event."""
+        return sum(w.watch.position.number == self.log.last for w in self.waiting.values())
+
     def review(self, now: int) -> None:
         """Something changed for all watchers."""
         stale = not self.fresh(now)
@@ -310,8 +322,12 @@
             self.stale = stale
             age = (now - self.follower.as_of_ms * MS) / SECOND
             if stale:
-                self.note("replica.stale", f"nothing from upstream for {age:.1f} s: watchers are told so",
-                          {"age_s": round(age, 3)}, "warning")
+                self.note(
+                    "replica.stale",
+                    f"nothing from upstream for {age:.1f} s: watchers are told so",
+                    {"age_s": round(age, 3)},
+                    "warning",
+                )
             else:
                 last = self.log.last
                 self.note("replica.fresh", f"in step with upstream at {last}", {"last": last})
--- a/kelpcroft/controllog/sources.py
+++ b/kelpcroft/controllog/sources.py
@@ -15,9 +15,9 @@
 
 MS = 1_000_000
 SECOND = 1_000 * MS
-SPREAD_NS = 100 * MS         # the first failures: the next address is called within this
-AGAIN_NS = 1_000 * MS        # once all have failed: between two calls, half of it more or less by chance
-HOME_NS = 60 * SECOND        # away from home: it is tried again after this, half of it more or less
+SPREAD_NS = 100 * MS  # the first failures: the next address is called within this
+AGAIN_NS = 1_000 * MS  # once all have failed: between two calls, half of it more or less by chance
+HOME_NS = 60 * SECOND  # away from home: it is tried again after this, half of it more or less
 
 Address = tuple[str, int]
 
@@ -31,7 +31,7 @@
         self.addresses = addresses
         self.home = self.at = self.random.randrange(len(addresses))
         self.failures = 0
-        self.home_at_ns = 0      # away from home: when it is tried again
+        self.home_at_ns = 0  # away from home: when it is tried again
 
     @property
     def address(self) -> Address:
--- a/kelpcroft/controllog/subscription.py
+++ b/kelpcroft/controllog/subscription.py
@@ -14,9 +14,9 @@
 class Next(Enum):
     """What follows an answer."""
 
-    CALL = "call"            # the next call, at once
-    HOME = "home"            # the next call, at once and at the home address
-    MOVE = "move"            # another address
+    CALL = "call"  # the next call, at once
+    HOME = "home"  # the next call, at once and at the home address
+    MOVE = "move"  # another address
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpcroft/net/event_stream.py
+++ b/kelpcroft/net/event_stream.py
@@ -9,11 +9,11 @@
 
 import re
 
-EVENT_MOST = 2 << 20         # bytes of one event: a list of 10,000 servers; a longer one is left out
-ENVELOPE_MOST = 1 << 16      # bytes of all that is not an event
-STRING_MOST = 1 << 16        # bytes of one string; one that has not ended is looked at again with each read
+EVENT_MOST = 2 << 20  # bytes of one event: a list of 10,000 servers; a longer one is left out
+ENVELOPE_MOST = 1 << 16  # bytes of all that is not an event
+STRING_MOST = 1 << 16  # bytes of one string; one that has not ended is looked at again with each read
 EVENTS_KEY = b'"events"'
-EVENTS_DEPTH = 2             # the answer's object, and its array of events
+EVENTS_DEPTH = 2  # the answer's object, and its array of events
 # A string, a bracket, or the quotation mark of a string whose end has not come.
 TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|["{}\[\]]', re.DOTALL)
 
@@ -22,24 +22,24 @@
     """One answer."""
 
     def __init__(self) -> None:
-        self.envelope = b""          # all but the events
-        self.rest = b""              # looked at, and neither in the envelope nor a whole event
-        self.scanned = 0             # of ``rest``
+        self.envelope = b""  # all but the events
+        self.rest = b""  # looked at, and neither in the envelope nor a whole event
+        self.scanned = 0  # of ``rest``
         self.depth = 0
-        self.key = b""               # the last string in the answer's object
-        self.inside = False          # the array of events is open
-        self.begun = False           # an event is open: ``rest`` begins with it
-        self.skipping = False        # and it is too long
-        self.fault = ""              # why these bytes cannot be cut any further
+        self.key = b""  # the last string in the answer's object
+        self.inside = False  # the array of events is open
+        self.begun = False  # an event is open: ``rest`` begins with it
+        self.skipping = False  # and it is too long
+        self.fault = ""  # why these bytes cannot be cut any further
 
     def feed(self, data: bytes) -> list[bytes | None]:
         """The events that these bytes complete, None for one too long to keep; see ``fault``."""
         text, found = self.rest + data, list[bytes | None]()
-        start = 0                    # of what is not handed on yet
+        start = 0  # of what is not handed on yet
         at = self.scanned
         for match in TOKEN.finditer(text, self.scanned):
             token = match[0]
-            if token == b'"':        # the rest of this string is still to come
+            if token == b'"':  # the rest of this string is still to come
                 at = match.start()
                 break
             at = match.end()
@@ -74,7 +74,7 @@
             if self.skipping or at - start > EVENT_MOST:
                 self.skipping, start = True, at
         elif self.inside:
-            start = at               # commas and white space between events
+            start = at  # commas and white space between events
         else:
             self.envelope += text[start:at]
             start = at
--- a/kelpcroft/net/replica.py
+++ b/kelpcroft/net/replica.py
@@ -24,11 +24,11 @@
 SECOND = 1_000 * MS
 READ_SIZE = 1 << 16
 ACCEPTS_PER_TURN = 256
-SPARE_CONNECTIONS = 64       # beyond the watches: callers for the state, and connections about to end
-UNWRITTEN_MOST = 8 << 20     # bytes that wait for one watcher
-IDLE_NS = 20 * SECOND        # a watcher that calls no more, or reads no more, is let go after this
-SWEEP_NS = SECOND            # between looks for such
-CONNECT_NS = 400 * MS        # an upstream connection stands by then
+SPARE_CONNECTIONS = 64  # beyond the watches: callers for the state, and connections about to end
+UNWRITTEN_MOST = 8 << 20  # bytes that wait for one watcher
+IDLE_NS = 20 * SECOND  # a watcher that calls no more, or reads no more, is let go after this
+SWEEP_NS = SECOND  # between looks for such
+CONNECT_NS = 400 * MS  # an upstream connection stands by then
 
 
 class Watcher:
@@ -37,8 +37,8 @@
     def __init__(self, number: int, sock: socket.socket, now: int) -> None:
         self.number, self.sock, self.codec = number, sock, WatcherCodec()
         self.unwritten = bytearray()
-        self.moved_ns = now          # when it last called or took something
-        self.ending = False          # closed once all is written
+        self.moved_ns = now  # when it last called or took something
+        self.ending = False  # closed once all is written
 
 
 class Upstream:
@@ -61,9 +61,9 @@
         self.watchers: dict[int, Watcher] = {}
         self.most = replica.options.watches_most + SPARE_CONNECTIONS
         self.upstream: Upstream | None = None
-        self.calls: list[tuple[int, int, core.CallUpstream]] = []   # that are due later
+        self.calls: list[tuple[int, int, core.CallUpstream]] = []  # that are due later
         self.made = self.swept_ns = 0
-        self.bytes_out = 0
+        self.bytes_out = 0  # of answers to watchers
         self.signals: int | None = None
         self.stopping = False
 
@@ -110,6 +110,7 @@
         """What the replica decided."""
         for e in effects:
             if isinstance(e, core.Answer):
+                self.bytes_out += len(e.body)
                 self.write(e.watcher, answered(e.body))
             elif isinstance(e, core.Refuse):
                 self.write(e.watcher, refused(e.why, e.retry_s))
@@ -130,7 +131,7 @@
             sock = socket.socket(socket.AF_INET6 if ":" in e.address[0] else socket.AF_INET)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.connect_ex(e.address)       # what is wrong with it shows on the socket
+            sock.connect_ex(e.address)  # what is wrong with it shows on the socket
             self.upstream = Upstream(e.address, sock, now)
             self.selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, self.upstream)
         upstream = self.upstream
@@ -150,8 +151,11 @@
             self.lose_upstream(str(error))
             return
         upstream.unwritten = upstream.unwritten[sent:]
-        self.selector.modify(upstream.sock, selectors.EVENT_READ
-                             | (selectors.EVENT_WRITE if upstream.unwritten else 0), upstream)
+        self.selector.modify(
+            upstream.sock,
+            selectors.EVENT_READ | (selectors.EVENT_WRITE if upstream.unwritten else 0),
+            upstream,
+        )
 
     def upstream_ready(self, upstream: Upstream, events: int) -> None:
         """What the selector said of the upstream connection."""
@@ -186,9 +190,9 @@
             upstream.codec.feed(memoryview(data))
         except FeedError as error:
             fault = str(error)
-        for feed in upstream.codec.done:     # also what came whole before a fault
+        for feed in upstream.codec.done:  # also what came whole before a fault
             if upstream is not self.upstream and feed.more:
-                break                        # what has begun is of no use any more
+                break  # what has begun is of no use any more
             if not feed.more:
                 upstream.waits = False
                 if not upstream.codec.keeps:
@@ -276,10 +280,21 @@
         """What an operator asks for."""
         now, r = self.clock.now(), self.replica
         host, port = r.sources.address
-        return {"last": r.log.last, "mark": r.log.mark, "stale": r.stale,
-                "age_ms": now // MS - r.follower.as_of_ms, "upstream": f"{host}:{port}",
-                "watches": len(r.waiting), "connections": len(self.watchers), "servers": len(r.log.lines),
-                "purges": len(r.log.purges), "tail": len(r.log.tail), "bytes_out": self.bytes_out, **r.counts}
+        return {
+            "last": r.log.last,
+            "mark": r.log.mark,
+            "stale": r.stale,
+            "age_ms": now // MS - r.follower.as_of_ms,
+            "upstream": f"{host}:{port}",
+            "watches": len(r.waiting),
+            "in_step": r.in_step(),
+            "connections": len(self.watchers),
+            "servers": len(r.log.lines),
+            "purges": len(r.log.purges),
+            "tail": len(r.log.tail),
+            "bytes_out": self.bytes_out,
+            **r.counts,
+        }
 
     def write(self, number: int, data: bytes) -> None:
         """Bytes for a watcher."""
@@ -304,13 +319,13 @@
                 return
             if sent:
                 del watcher.unwritten[:sent]
-                self.bytes_out += sent
                 watcher.moved_ns = self.clock.now()
         if watcher.ending and not watcher.unwritten:
             self.drop(watcher)
             return
-        self.selector.modify(watcher.sock, selectors.EVENT_READ
-                             | (selectors.EVENT_WRITE if watcher.unwritten else 0), watcher)
+        self.selector.modify(
+            watcher.sock, selectors.EVENT_READ | (selectors.EVENT_WRITE if watcher.unwritten else 0), watcher
+        )
 
     def drop(self, watcher: Watcher) -> None:
         """A watcher's connection ends."""
--- a/kelpcroft/net/upstream.py
+++ b/kelpcroft/net/upstream.py
@@ -20,8 +20,12 @@
         if not well:
             raise FeedError("not an answer with n and events")
         mark, as_of = raw.get("mark"), raw.get("as_of")
-        return Feed(raw["n"], tuple(raw["events"]), mark if isinstance(mark, str) else "",
-                    as_of if type(as_of) is int else None)
+        return Feed(
+            raw["n"],
+            tuple(raw["events"]),
+            mark if isinstance(mark, str) else "",
+            as_of if type(as_of) is int else None,
+        )
 
     def piece(self, found: list[bytes | None]) -> Feed:
         """Events of a long answer; one that cannot be read is left out."""
--- a/kelpcroft/net/watchers.py
+++ b/kelpcroft/net/watchers.py
@@ -9,8 +9,8 @@
 
 from kelpcroft.controllog.follower import Position
 
-HEAD_MOST = 4_096            # bytes of one call's head
-CALLS_MOST = 4               # calls of one connection that may come at once
+HEAD_MOST = 4_096  # bytes of one call's head
+CALLS_MOST = 4  # calls of one connection that may come at once
 EVENTS_PATH = b"/v1/events"
 STATE_PATH = b"/control/state"
 QUERY = re.compile(rb"SUB=(\d{1,18})&wait=(\d{1,9})(?:&mark=([0-9a-f]{0,32}))?")
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         self.parser = httptools.HttpRequestParser(self)
         self.url = b""
-        self.head = 0                # bytes of the call that has begun
+        self.head = 0  # bytes of the call that has begun
         self.done: list[EventsCall | StateCall] = []
 
     def feed(self, data: bytes) -> list[EventsCall | StateCall]:
@@ -83,19 +83,26 @@
 
 def answered(body: bytes) -> bytes:
     """An answer."""
-    return (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-            % (len(body), body))
+    return b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(body),
+        body,
+    )
 
 
 def refused(why: str, retry_s: int) -> bytes:
     """A watcher is turned away for now; its connection may go on."""
     text = why.encode()
-    return (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nContent-Length: %d\r\n\r\n%s"
-            % (retry_s, len(text), text))
+    return b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nContent-Length: %d\r\n\r\n%s" % (
+        retry_s,
+        len(text),
+        text,
+    )
 
 
 def bad(why: str) -> bytes:
     """A call that cannot be read; the connection ends after it."""
     text = why.encode()
-    return (b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
-            % (len(text), text))
+    return b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(text),
+        text,
+    )
--- a/kelpcroft/operator/replica.py
+++ b/kelpcroft/operator/replica.py
@@ -27,8 +27,8 @@
 SECOND = 1_000 * MS
 HEAD = "control-replica"
 TOP = (HEAD, "listen", "list-service", "peer", "lease", "batch", "watches")
-LEASE_NS = (2 * SECOND, 60 * SECOND)     # upstream is heard once a second
-BATCH_NS = (10 * MS, 1 * SECOND)         # more would keep news back for longer than purges may take
+LEASE_NS = (2 * SECOND, 60 * SECOND)  # upstream is heard once a second
+BATCH_NS = (10 * MS, 1 * SECOND)  # more would keep news back for longer than purges may take
 WATCHES_MOST = 10_000
 
 Address = tuple[str, int]
@@ -65,14 +65,23 @@
         seen: dict[str, int] = {}
         for n, item in enumerate(items):
             if n == 0 and item.name != HEAD:
-                self.faults.add(item.place, "no-version",
-                                f"the first node is '{HEAD} version={VERSION}', not {shown(item.name)}")
+                self.faults.add(
+                    item.place,
+                    "no-version",
+                    f"the first node is '{HEAD} version={VERSION}', not {shown(item.name)}",
+                )
             if item.name not in TOP:
-                self.faults.add(item.place, "unknown-node",
-                                f"a replica's file holds no {shown(item.name)}{instead(item.name, TOP)}")
+                self.faults.add(
+                    item.place,
+                    "unknown-node",
+                    f"a replica's file holds no {shown(item.name)}{instead(item.name, TOP)}",
+                )
             elif item.name in seen:
-                self.faults.add(item.place, "duplicate-node",
-                                f"{item.name!r} stands at line {self.line(seen[item.name])} already")
+                self.faults.add(
+                    item.place,
+                    "duplicate-node",
+                    f"{item.name!r} stands at line {self.line(seen[item.name])} already",
+                )
             else:
                 seen[item.name] = item.place
                 said.update(self.node(item))
@@ -97,8 +106,10 @@
         if item.name == "listen":
             return {"listen": self.argument(item, values.address, 'an address, as in listen "10.0.0.1:7100"')}
         if item.name == "watches":
+
             def count(raw: Any) -> int:
                 return values.count(raw, 1, WATCHES_MOST)
+
             return {"watches": self.argument(item, count, "a count, as in watches 1000")}
         return {f"{item.name}_ns": self.span(item, LEASE_NS if item.name == "lease" else BATCH_NS)}
 
@@ -106,7 +117,10 @@
         """A duration between two others."""
         found: int | None = self.argument(item, values.duration, f'a time, as in {item.name} "500ms"')
         if found is not None and not whole[0] <= found <= whole[1]:
-            self.faults.add(item.args[0][1], "bad-duration",
-                            f"{item.name!r} is from {whole[0] // MS}ms to {whole[1] // MS}ms")
+            self.faults.add(
+                item.args[0][1],
+                "bad-duration",
+                f"{item.name!r} is from {whole[0] // MS}ms to {whole[1] // MS}ms",
+            )
             return None
         return found
--- a/kelplab/hollow/configuration.py
+++ b/kelplab/hollow/configuration.py
@@ -8,7 +8,7 @@
 
 from kelplab.standin import ROOT
 
-PARENTS = 9                  # of the servers, in the hub zone; one more is the origin
+PARENTS = 9  # of the servers, in the hub zone; one more is the origin
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +17,7 @@
 
     routers: int = 590
     servers: int = 150
-    zones: int = 19          # with caches and routers; the parents' and the origin's comes on top
+    zones: int = 19  # with caches and routers; the parents' and the origin's comes on top
 
     def zone_names(self) -> tuple[str, ...]:
         """Names of the zones with caches."""
@@ -34,8 +34,16 @@
 
 def endpoint(name: str, zone: str, kind: str, number: int, status: str = "active") -> dict[str, Any]:
     """A server's line of the list.  Nobody listens at its address."""
-    return {"name": name, "address": f"10.9.{number // 250}.{number % 250 + 1}:9000", "zone": zone,
-            "type": kind, "group": 0, "status": status, "weight": 4, "since_ms": 0}
+    return {
+        "name": name,
+        "address": f"10.9.{number // 250}.{number % 250 + 1}:9000",
+        "zone": zone,
+        "type": kind,
+        "group": 0,
+        "status": status,
+        "weight": 4,
+        "since_ms": 0,
+    }
 
 
 def endpoints(size: Size) -> list[dict[str, Any]]:
@@ -50,10 +58,28 @@
     """One router's configuration."""
     raw: dict[str, Any] = json.loads((ROOT / "examples/config.json").read_text())
     zones = [*size.zone_names(), "hub"]
-    family = {**raw["settings"]["family_info"], "hub_of": [size.zones] * len(zones),
-              "instances_by_zone": size.routers_by_zone()}
-    settings = {**raw["settings"], "az": size.zone_of(router), "dcs": zones, "family_info": family,
-                "instances": size.routers, "self_index": router, "weight_source": "nominal"}
+    family = {
+        **raw["settings"]["family_info"],
+        "hub_of": [size.zones] * len(zones),
+        "instances_by_zone": size.routers_by_zone(),
+    }
+    settings = {
+        **raw["settings"],
+        "az": size.zone_of(router),
+        "dcs": zones,
+        "family_info": family,
+        "instances": size.routers,
+        "self_index": router,
+        "weight_source": "nominal",
+    }
     first = {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints(size)}}
-    return {**raw, "name": f"r{router}", "listen": listen, "mgmt": mgmt, "feed": feed,
-            "seed": f"{router:016x}", "known": {"n": 1, "events": [first]}, "settings": settings}
+    return {
+        **raw,
+        "name": f"r{router}",
+        "listen": listen,
+        "mgmt": mgmt,
+        "feed": feed,
+        "seed": f"{router:016x}",
+        "known": {"n": 1, "events": [first]},
+        "settings": settings,
+    }
--- a/kelplab/hollow/field.py
+++ b/kelplab/hollow/field.py
@@ -11,7 +11,7 @@
 from kelplab.hollow.configuration import Size
 from kelplab.hollow.processes import Asked, ControlReplica, hollow_routers, list_service, wait_for
 
-LONGEST_S = 20.0             # who is not in step by then never will be
+LONGEST_S = 20.0  # who is not in step by then never will be
 
 
 class ControlField:
@@ -42,8 +42,9 @@
         for n in range(self.count):
             port = self.service_list[n % self.services].first["port"]
             upstream = self.stack.enter_context(Relay(("127.0.0.1", port), delay_s=0.15))
-            replica = ControlReplica(self.folder, f"r{n}", [f"127.0.0.1:{upstream.address[1]}"],
-                                     more=self.more, size=self.size)
+            replica = ControlReplica(
+                self.folder, f"r{n}", [f"127.0.0.1:{upstream.address[1]}"], more=self.more, size=self.size
+            )
             self.stack.callback(replica.end)
             replica.start()
             self.replicas.append(replica)
@@ -65,10 +66,12 @@
 
     def in_step(self, number: int, servers: int, longest_s: float = LONGEST_S) -> bool:
         """Whether in time all routers have an event in force, and use so many servers."""
+
         def found() -> bool:
             report = self.routers.ask()
             known = [router[-1][0] if router else 0 for router in report["seen"]]
             return min(known) >= number and set(report["in_service"]) == {servers}
+
         return wait_for(found, longest_s, 0.1)
 
     def watchers(self) -> list[int]:
--- /dev/null
+++ b/kelplab/hollow/load.py
@@ -0,0 +1,97 @@
+"""Requests at a steady rate over some connections, whatever comes back.
+
+    python -m kelplab.hollow.load --to HOST:PORT --rate 800 --seconds 5
+
+Prints how many were sent and served, and how long the served ones took.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import secrets
+import selectors
+import socket
+import time
+from typing import Any
+
+import msgpack
+
+CONNECTIONS = 32
+OBJECTS = 500  # asked for in turn
+DRAIN_S = 2.0  # after the last request, for answers
+PATIENCE_MS = 2_000
+
+
+class Connection:
+    """One connection and what is open on it."""
+
+    def __init__(self, at: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(at, 10)
+        self.sock.setblocking(False)
+        self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=1 << 24)
+        self.sent: dict[int, float] = {}
+        self.count = 0
+
+    def send(self, number: int) -> None:
+        """One request."""
+        self.count += 1
+        fields = {
+            "trace": secrets.token_hex(8),
+            "patience": str(PATIENCE_MS),
+            "entity": f"{number % OBJECTS:016x}",
+            "block": "0",
+            "family": "1",
+        }
+        self.sent[self.count] = time.monotonic()
+        self.sock.send(msgpack.packb([0, self.count, "page", [fields, b""]]))
+
+
+def played(at: tuple[str, int], rate: float, seconds: float) -> dict[str, Any]:
+    """The requests, and what came of them."""
+    selector = selectors.DefaultSelector()
+    connections = [Connection(at) for _ in range(CONNECTIONS)]
+    for connection in connections:
+        selector.register(connection.sock, selectors.EVENT_READ, connection)
+    began, sent, took, refused = time.monotonic(), 0, list[float](), 0
+    while time.monotonic() < began + seconds + DRAIN_S:
+        due = int(min(seconds, time.monotonic() - began) * rate)
+        while sent < due:
+            connections[sent % CONNECTIONS].send(sent)
+            sent += 1
+        for key, _ in selector.select(0.001):
+            connection = key.data
+            try:
+                connection.unpacker.feed(connection.sock.recv(1 << 18))
+            except BlockingIOError:
+                continue
+            for _, call, error, _ in connection.unpacker:
+                at_s = connection.sent.pop(call)
+                refused += error is not None
+                if error is None:
+                    took.append(time.monotonic() - at_s)
+        if sent >= rate * seconds and not any(c.sent for c in connections):
+            break
+    took.sort()
+    return {
+        "sent": sent,
+        "served": len(took),
+        "refused": refused,
+        "median_ms": took[len(took) // 2] * 1e3 if took else 0.0,
+        "p99_ms": took[int(0.99 * len(took))] * 1e3 if took else 0.0,
+    }
+
+
+def main() -> None:
+    """Play, and print the figures."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--to", required=True)
+    parser.add_argument("--rate", type=float, default=800)
+    parser.add_argument("--seconds", type=float, default=5)
+    options = parser.parse_args()
+    host, _, port = options.to.rpartition(":")
+    print(json.dumps(played((host, int(port)), options.rate, options.seconds)))
+
+
+if __name__ == "__main__":
+    main()
--- a/kelplab/hollow/processes.py
+++ b/kelplab/hollow/processes.py
@@ -19,7 +19,7 @@
 from kelplab.hollow.configuration import Size, configuration
 from kelplab.standin import ROOT
 
-EACH_PROCESS = 100           # hollow routers in one process
+EACH_PROCESS = 100  # hollow routers in one process
 TICK_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -28,8 +28,14 @@
 
     def __init__(self, words: list[str], cwd: Path = ROOT) -> None:
         self.words = words
-        self.process = subprocess.Popen([sys.executable, *words], cwd=cwd, stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+        self.process = subprocess.Popen(
+            [sys.executable, *words],
+            cwd=cwd,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
         self.first = self.read()
 
     def read(self) -> dict[str, Any]:
@@ -59,8 +65,9 @@
 @contextmanager
 def list_service(size: Size) -> Iterator[Asked]:
     """The list service of a fleet."""
-    service = Asked(["-m", "kelplab.hollow.service", "--servers", str(size.servers), "--zones",
-                     str(size.zones)])
+    service = Asked(
+        ["-m", "kelplab.hollow.service", "--servers", str(size.servers), "--zones", str(size.zones)]
+    )
     try:
         yield service
     finally:
@@ -68,15 +75,28 @@
 
 
 @contextmanager
-def hollow_routers(size: Size, feed: str, rules: str = "", each: int = EACH_PROCESS
-                   ) -> Iterator[list[Asked]]:
+def hollow_routers(size: Size, feed: str, rules: str = "", each: int = EACH_PROCESS) -> Iterator[list[Asked]]:
     """All routers of a fleet, some in each process."""
     with ExitStack() as stack:
         found = []
         for first in range(0, size.routers, each):
-            words = ["-O", "-m", "kelplab.hollow.routers", "--first", str(first),
-                     "--count", str(min(each, size.routers - first)), "--routers", str(size.routers),
-                     "--servers", str(size.servers), "--zones", str(size.zones), "--feed", feed]
+            words = [
+                "-O",
+                "-m",
+                "kelplab.hollow.routers",
+                "--first",
+                str(first),
+                "--count",
+                str(min(each, size.routers - first)),
+                "--routers",
+                str(size.routers),
+                "--servers",
+                str(size.servers),
+                "--zones",
+                str(size.zones),
+                "--feed",
+                feed,
+            ]
             found.append(Asked([*words, *(["--rules", rules] if rules else [])]))
             stack.callback(found[-1].end)
         yield found
@@ -91,8 +111,15 @@
 class ControlReplica:
     """`kelpcroft control-replica` as a process that keeps its address over restarts."""
 
-    def __init__(self, folder: Path, name: str, upstreams: list[str], peers: list[str] | None = None,
-                 more: str = "", size: Size | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        upstreams: list[str],
+        peers: list[str] | None = None,
+        more: str = "",
+        size: Size | None = None,
+    ) -> None:
         """``upstreams`` and ``peers`` as HOST:PORT; ``more``: further lines of its file."""
         self.name, self.port = name, free_port()
         self.file, self.config, self.log = (folder / f"{name}.{end}" for end in ("kdl", "json", "log"))
@@ -111,12 +138,23 @@
 
     def start(self) -> None:
         """A process, once it takes connections."""
-        words = ["control-replica", str(self.file), "--config", str(self.config), "--name", self.name,
-                 "--format", "json"]
+        words = [
+            "control-replica",
+            str(self.file),
+            "--config",
+            str(self.config),
+            "--name",
+            self.name,
+            "--format",
+            "json",
+        ]
         with self.log.open("a") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-O", "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT,
-                stdout=log, stderr=log)
+                [sys.executable, "-O", "-c", f"from kelpcroft.cli import main; main({words!r})"],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
         if not wait_for(lambda: self.state() is not None, 20):
             raise RuntimeError(f"{self.name} does not serve: {self.log.read_text()[-2_000:]}")
 
@@ -144,11 +182,23 @@
 class RealRouter:
     """A router as `run` starts it.  A context manager."""
 
-    def __init__(self, size: Size, number: int, feed: str, program: Path, folder: Path, rules: str = "",
-                 known: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        size: Size,
+        number: int,
+        feed: str,
+        program: Path,
+        folder: Path,
+        rules: str = "",
+        known: dict[str, Any] | None = None,
+        example: bool = False,
+    ) -> None:
+        """``example``: with the example's own settings, whose zones are those of the stand-in servers."""
         host = f"127.3.{number // 250}.{number % 250 + 1}"
         self.listen = f"{host}:7000"
         raw = configuration(size, number, feed, self.listen, f"{host}:7001")
+        if example:
+            raw["settings"] = json.loads((ROOT / "examples/config.json").read_text())["settings"]
         if known is not None:
             raw["known"] = known
         path = folder / f"r{number}.json"
@@ -159,8 +209,9 @@
             env["ROUTER_RULES"] = rules
         self.log = folder / f"r{number}.log"
         with self.log.open("w") as log:
-            self.process = subprocess.Popen([sys.executable, "-O", "-m", "kelpcroft"], cwd=program, env=env,
-                                            stdout=log, stderr=log)
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-m", "kelpcroft"], cwd=program, env=env, stdout=log, stderr=log
+            )
 
     def __enter__(self) -> RealRouter:
         return self
@@ -169,6 +220,15 @@
         self.process.kill()
         self.process.wait()
 
+    def answers(self) -> bool:
+        """Whether it takes connections."""
+        host, _, port = self.listen.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+        except OSError:
+            return False
+        return True
+
     def cpu_s(self) -> float:
         """Processor time so far."""
         return cpu_s(self.process.pid)
--- a/kelplab/hollow/routers.py
+++ b/kelplab/hollow/routers.py
@@ -27,7 +27,7 @@
 from kelpcroft.operator.service import start, steps
 from kelplab.hollow.configuration import Size, configuration
 
-LOOK_S = 0.05                # loops with a wake-up that is due are looked for this often at the least
+LOOK_S = 0.05  # loops with a wake-up that is due are looked for this often at the least
 
 
 class Hollow:
@@ -40,7 +40,7 @@
         reading = partial(steps, rules) if rules else None
         self.loop = Loop(config, Clock(), rules=reading, events=EventLog(config.name, form="json"))
         self.loop.begin(first=start(rules, config.settings) if rules else None)
-        self.seen: list[tuple[int, int]] = []        # up to which event it knew, and since when
+        self.seen: list[tuple[int, int]] = []  # up to which event it knew, and since when
 
     def due(self, now_ns: int) -> bool:
         """Whether a wake-up of its own has come."""
@@ -96,9 +96,14 @@
         for router in self.routers:
             router.seen = router.seen[-1:]
         members = [r.loop.reducer.members for r in self.routers]
-        return {"cpu_s": times.user + times.system, "memory_kb": pages * os.sysconf("SC_PAGE_SIZE") // 1024,
-                "seen": seen, "in_service": [len(r.loop.reducer.state.endpoints) for r in self.routers],
-                "at": [m.feed_at[1] for m in members], "now_ns": time.time_ns()}
+        return {
+            "cpu_s": times.user + times.system,
+            "memory_kb": pages * os.sysconf("SC_PAGE_SIZE") // 1024,
+            "seen": seen,
+            "in_service": [len(r.loop.reducer.state.endpoints) for r in self.routers],
+            "at": [m.feed_at[1] for m in members],
+            "now_ns": time.time_ns(),
+        }
 
 
 def main() -> None:
--- /dev/null
+++ b/kelplab/hollow/servers.py
@@ -0,0 +1,40 @@
+"""Stand-in servers as a process of their own: every request is answered with a body of one size.
+
+    python -m kelplab.hollow.servers --bytes 20000
+
+Prints their addresses by name, and ends with its standard input.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+
+from kelplab.standin import Reply, Seen, World
+
+
+def main() -> None:
+    """Serve until standard input ends."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bytes", type=int, default=20_000)
+    body = b"x" * parser.parse_args().bytes
+
+    def script(name: str, seen: Seen) -> Reply:
+        return Reply(body=body)
+
+    with World(script) as world:
+        world.seen = Nothing()
+        print(json.dumps({"feed": world.at("feed"), "members": world.members()}), flush=True)
+        sys.stdin.read()
+
+
+class Nothing(list[Seen]):
+    """Requests are not written down: there are too many."""
+
+    def append(self, one: Seen) -> None:
+        """Nothing."""
+
+
+if __name__ == "__main__":
+    main()
--- a/kelplab/hollow/service.py
+++ b/kelplab/hollow/service.py
@@ -30,9 +30,9 @@
 
 QUERY = re.compile(rb"GET /v1/events\?SUB=(\d+)&wait=(\d+)")
 READ_SIZE = 1 << 16
-EARLY_NS = 100 * 10**6       # a call with no news is answered so much before its wait is over
+EARLY_NS = 100 * 10**6  # a call with no news is answered so much before its wait is over
 SECOND = 10**9
-BODIES_KEPT = 64             # encoded answers kept for others who ask for the same
+BODIES_KEPT = 64  # encoded answers kept for others who ask for the same
 
 
 @dataclass
@@ -42,9 +42,9 @@
     sock: socket.socket
     read: bytes = b""
     waiting: list[bytes] = field(default_factory=list)  # what the socket did not take
-    after: int = -1          # of the call that is out; -1 = none
+    after: int = -1  # of the call that is out; -1 = none
     until_ns: int = 0
-    replica: bool = False    # it tells where its position is from, as control replicas and their routers do
+    replica: bool = False  # it tells where its position is from, as control replicas and their routers do
 
 
 class ListService:
@@ -52,8 +52,8 @@
 
     def __init__(self, size: Size, port: int = 0) -> None:
         self.lines = {line["name"]: line for line in endpoints(size)}
-        self.events: list[bytes] = []        # encoded, numbered from 2
-        self.born: list[int] = []            # Unix ns of each
+        self.events: list[bytes] = []  # encoded, numbered from 2
+        self.born: list[int] = []  # Unix ns of each
         self.index = 1
         self.watchers: dict[int, Watcher] = {}
         self.bodies: dict[int, bytes] = {}
@@ -88,10 +88,16 @@
         """The answer to a call for what comes after an event."""
         found = self.bodies.get(after)
         if found is None:
-            parts = self.events[max(0, after - 1):] if after <= self.last else []
+            parts = self.events[max(0, after - 1) :] if after <= self.last else []
             if after < 1:
-                whole = {"n": 1, "members": {"index": self.index, "snapshot": True,
-                                             "endpoints": list(self.lines.values())}}
+                whole = {
+                    "n": 1,
+                    "members": {
+                        "index": self.index,
+                        "snapshot": True,
+                        "endpoints": list(self.lines.values()),
+                    },
+                }
                 parts = [json.dumps(whole, separators=(",", ":")).encode(), *parts]
             text = b'{"n":%d,"events":[%s]}' % (self.last, b",".join(parts))
             found = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
@@ -130,10 +136,19 @@
         """What it has done since its start."""
         times = os.times()
         pages = int(open("/proc/self/statm").read().split()[1])
-        return {"n": self.last, "calls": self.calls, "bytes_in": self.bytes_in, "bytes_out": self.bytes_out,
-                "accepted": self.accepted, "watches": len(self.watchers), "cpu_s": times.user + times.system,
-                "watches_most": self.watches_most, "memory_kb": pages * os.sysconf("SC_PAGE_SIZE") // 1024,
-                "born": self.born[-20_000:], "now_ns": time.time_ns()}
+        return {
+            "n": self.last,
+            "calls": self.calls,
+            "bytes_in": self.bytes_in,
+            "bytes_out": self.bytes_out,
+            "accepted": self.accepted,
+            "watches": len(self.watchers),
+            "cpu_s": times.user + times.system,
+            "watches_most": self.watches_most,
+            "memory_kb": pages * os.sysconf("SC_PAGE_SIZE") // 1024,
+            "born": self.born[-20_000:],
+            "now_ns": time.time_ns(),
+        }
 
     # The wire ---------------------------------------------------------------------------------------------
 
@@ -241,8 +256,9 @@
         self.bytes_out += sent
         if sent < len(data):
             watcher.waiting.append(data[sent:])
-        self.selector.modify(watcher.sock, selectors.EVENT_READ
-                             | (selectors.EVENT_WRITE if watcher.waiting else 0), watcher)
+        self.selector.modify(
+            watcher.sock, selectors.EVENT_READ | (selectors.EVENT_WRITE if watcher.waiting else 0), watcher
+        )
 
 
 def main() -> None:
--- a/kelplab/hollow/virtual.py
+++ b/kelplab/hollow/virtual.py
@@ -28,7 +28,7 @@
 MS = 10**6
 SECOND = 10**9
 START = 1_764_576_000 * SECOND
-DELAY_NS = 5 * MS            # of a message, one way
+DELAY_NS = 5 * MS  # of a message, one way
 SERVICE_PORT = 7_000
 
 Address = tuple[str, int]
@@ -98,7 +98,7 @@
         if call not in self.waiting:
             return
         self.waiting.remove(call)
-        found = self.events[max(0, call.after - 1):] if call.after <= self.last else []
+        found = self.events[max(0, call.after - 1) :] if call.after <= self.last else []
         if call.after < 1:
             whole = {"index": 1, "snapshot": True, "endpoints": list(self.lines.values())}
             found = [{"n": 1, "members": whole}, *found]
@@ -112,8 +112,8 @@
         self.net, self.number, self.options, self.skew_ns = net, number, options, skew_ns
         self.name, self.up, self.starts = f"replica-{number}", False, 0
         self.watches: dict[int, Call] = {}
-        self.watchers: dict[str, int] = {}   # by caller, while its connection stands
-        self.calls: list[int] = []           # when, in true time
+        self.watchers: dict[str, int] = {}  # by caller, while its connection stands
+        self.calls: list[int] = []  # when, in true time
         self.notes: list[str] = []
         self.core = Replica(options, number)
         self.out: Call | None = None
@@ -179,8 +179,10 @@
                 self.carry_out(self.core.on_upstream_lost(self.now(), "lost"))
             else:
                 self.carry_out(self.core.on_upstream(self.now(), UpstreamCodec().whole(orjson.loads(body))))
-        self.net.call(Call(self.name, e.address, e.position.number, mark, e.wait_ns, reply),
-                      core.UPSTREAM_LATE_NS)
+
+        self.net.call(
+            Call(self.name, e.address, e.position.number, mark, e.wait_ns, reply), core.UPSTREAM_LATE_NS
+        )
 
 
 class RouterNode:
@@ -236,6 +238,7 @@
             self.out = None
             if start == self.starts:
                 self.tell(m.FeedLost("lost") if body is None else news_of(orjson.loads(body)))
+
         self.out = Call(self.name, self.at, e.after, e.mark, e.wait_ms * MS, reply)
         self.net.call(self.out, e.late_ns)
 
@@ -257,12 +260,15 @@
         self.cut: set[frozenset[str]] = set()
         self.connections: dict[tuple[str, Address], int] = {}  # with which process of its target each stands
         self.service = Service(self, {line["name"]: line for line in endpoints(size)})
-        self.replicas = [ReplicaNode(self, n + 1, options, skews_ns[n % len(skews_ns)])
-                         for n, options in enumerate(replicas)]
+        self.replicas = [
+            ReplicaNode(self, n + 1, options, skews_ns[n % len(skews_ns)])
+            for n, options in enumerate(replicas)
+        ]
         named = Replicas(tuple(address_of(r.number) for r in self.replicas))
         self.run(SECOND)
-        self.routers = [RouterNode(self, n, size, named, -skews_ns[n % len(skews_ns)])
-                        for n in range(size.routers)]
+        self.routers = [
+            RouterNode(self, n, size, named, -skews_ns[n % len(skews_ns)]) for n in range(size.routers)
+        ]
 
     def at(self, delay_ns: int, what: Callable[[], None]) -> None:
         """Something happens later."""
@@ -301,6 +307,7 @@
             else:
                 self.connections.pop(connection, None)
                 self.fail(call)
+
         self.at(DELAY_NS, arrive)
         self.at(call.wait_ns + late_ns, lambda: self.given_up(call))
 
@@ -319,9 +326,11 @@
 
     def reply(self, call: Call, body: bytes) -> None:
         """An answer on its way."""
+
         def arrive() -> None:
             if self.linked(call.caller, call.target):
                 self.over(call, body)
+
         self.at(DELAY_NS, arrive)
 
     def over(self, call: Call, body: bytes | None) -> None:
--- a/tests/test_control_field.py
+++ b/tests/test_control_field.py
@@ -19,7 +19,7 @@
 
 SIZE = Size(routers=12, servers=40, zones=3)
 LEASE = 'lease "2s"'
-CALLS_MOST = 6               # of one router in a second: one each batch of 400 ms, and moves
+CALLS_MOST = 6  # of one router in a second: one each batch of 400 ms, and moves
 
 
 class Faults(unittest.TestCase):
@@ -43,9 +43,11 @@
 
     def assert_calls_bounded(self, field: ControlField, over_s: float = 3.0) -> None:
         """Over some seconds no replica hears more calls than its watchers may make."""
+
         def heard() -> list[int]:
             states = [replica.state() for replica in field.replicas]
             return [state["answers"] + state["refusals"] if state else 0 for state in states]
+
         before, began = heard(), time.monotonic()
         time.sleep(over_s)
         after, took = heard(), time.monotonic() - began
@@ -112,7 +114,7 @@
         field.upstream_relays[0].change(Mode.DELAY)
         for _ in range(3):
             self.assert_in_step(field, "one lags")
-        field.watcher_relays[1].drop()           # those of the quick one try another
+        field.watcher_relays[1].drop()  # those of the quick one try another
         self.assert_in_step(field, "some have moved to the one that lags")
         self.assert_calls_bounded(field)
 
@@ -132,7 +134,7 @@
         field = self.field()
         self.assert_in_step(field, "before")
         field.service.end()
-        time.sleep(4.0)                          # past the lease
+        time.sleep(4.0)  # past the lease
         self.assertTrue(all((replica.state() or {}).get("stale") for replica in field.replicas))
         self.assert_calls_bounded(field)
         self.assertEqual(set(field.routers.ask()["in_service"]), {SIZE.servers - 1}, "nothing is forgotten")
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -18,8 +18,8 @@
 SIZE = Size(routers=4, servers=12, zones=2)
 SKEWS_NS = [0, 400 * MS, -400 * MS]
 SERVICE = address_of(0)
-HEALED_NS = 12 * SECOND      # a lease, the moves past all replicas, and a clock's difference twice
-CALLS_MOST = 12              # of one router at all replicas in a second: one each batch, and moves
+HEALED_NS = 12 * SECOND  # a lease, the moves past all replicas, and a clock's difference twice
+CALLS_MOST = 12  # of one router at all replicas in a second: one each batch, and moves
 PURGE_SPAN_NS = 66 * SECOND  # of the example's settings
 
 
@@ -36,8 +36,8 @@
         super().__init__()
         self.net = fleet()
         self.net.run(2 * SECOND)
-        self.gone: set[str] = set()                  # drained, and not back
-        self.purges: dict[int, int] = {}             # object: when
+        self.gone: set[str] = set()  # drained, and not back
+        self.purges: dict[int, int] = {}  # object: when
         self.known_gone: dict[str, set[str]] = {r.name: set() for r in self.net.routers}
         self.known_purges: dict[str, dict[int, int]] = {r.name: {} for r in self.net.routers}
         self.made = 0
@@ -143,7 +143,10 @@
 
 
 ControlMachine.TestCase.settings = settings(
-    max_examples=40, stateful_step_count=30, deadline=None, derandomize=True,
+    max_examples=40,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
 TestControlMachine = ControlMachine.TestCase
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -48,12 +48,25 @@
 
 class Cutting(unittest.TestCase):
     @settings(max_examples=200, deadline=None, derandomize=True)
-    @given(st.lists(st.dictionaries(st.text(max_size=4), JSON_VALUES, max_size=3), max_size=6),
-           st.dictionaries(st.text(max_size=4).filter(lambda k: k not in ("events", "n")), JSON_VALUES,
-                           max_size=3),
-           st.booleans(), st.integers(1, 40), st.sampled_from([None, 2]), st.booleans())
-    def test_any_answer_is_cut_into_its_events(self, events: list[Any], extra: dict[str, Any], first: bool,
-                                               size: int, indent: int | None, ascii_only: bool) -> None:
+    @given(
+        st.lists(st.dictionaries(st.text(max_size=4), JSON_VALUES, max_size=3), max_size=6),
+        st.dictionaries(
+            st.text(max_size=4).filter(lambda k: k not in ("events", "n")), JSON_VALUES, max_size=3
+        ),
+        st.booleans(),
+        st.integers(1, 40),
+        st.sampled_from([None, 2]),
+        st.booleans(),
+    )
+    def test_any_answer_is_cut_into_its_events(
+        self,
+        events: list[Any],
+        extra: dict[str, Any],
+        first: bool,
+        size: int,
+        indent: int | None,
+        ascii_only: bool,
+    ) -> None:
         raw = {**extra, "n": 7, "events": events} if first else {"events": events, "n": 7, **extra}
         splitter = EventSplitter()
         found = []
@@ -71,8 +84,12 @@
             most = max(most, len(splitter.rest))
         self.assertEqual([event and json.loads(event)["n"] for event in found], [1, None, 3])
         self.assertLess(most, EVENT_MOST + (1 << 17))
-        for text in (b'{"n":1,"x":"' + b"y" * ENVELOPE_MOST + b'"', b'{"n":1}}',
-                     b'{"events":[{"n":"' + b"y" * 2 * EVENT_MOST, b'{"n":1,' + b" " * 2 * ENVELOPE_MOST):
+        for text in (
+            b'{"n":1,"x":"' + b"y" * ENVELOPE_MOST + b'"',
+            b'{"n":1}}',
+            b'{"events":[{"n":"' + b"y" * 2 * EVENT_MOST,
+            b'{"n":1,' + b" " * 2 * ENVELOPE_MOST,
+        ):
             with self.subTest(text=text[:20]):
                 splitter = EventSplitter()
                 for piece in pieces(text, 1 << 16):
@@ -123,8 +140,10 @@
             fed(FeedCodec(), http(b'{"n":1,"events":[' + long * (ANSWER_MOST // 9_000)))
 
     def test_a_long_list_is_the_list(self) -> None:
-        lines = [{"name": f"s{n}", "address": f"10.0.0.1:{n + 1}", "zone": "a", "type": "box",
-                  "status": "active"} for n in range(5_000)]
+        lines = [
+            {"name": f"s{n}", "address": f"10.0.0.1:{n + 1}", "zone": "a", "type": "box", "status": "active"}
+            for n in range(5_000)
+        ]
         event = {"n": 9, "members": {"snapshot": True, "endpoints": lines}}
         found = fed(FeedCodec(), http(answer([event], 9)))
         lists = [e for news in found for e in news.events if isinstance(e, Members)]
@@ -150,10 +169,19 @@
             world.tell(purge={"key": "1" * 16, "at": now})
             with Router(world, release=True) as router:
                 self.wait(lambda: 2 in self.last_calls(world), "it calls")
-                with world.lock:                 # 5.1 purges a second for 5.4 hours
+                with world.lock:  # 5.1 purges a second for 5.4 hours
                     world.news += [purge(n, now - (100_002 - n) * 196) for n in range(3, 100_002)]
-                    world.news += [{"n": 100_002, "members": {"snapshot": False, "endpoints": [
-                        {**world.members()["members"]["endpoints"][0], "status": "leaving"}]}}]
+                    world.news += [
+                        {
+                            "n": 100_002,
+                            "members": {
+                                "snapshot": False,
+                                "endpoints": [
+                                    {**world.members()["members"]["endpoints"][0], "status": "leaving"}
+                                ],
+                            },
+                        }
+                    ]
                     before = len(world.calls)
                 self.wait(lambda: 100_002 in self.last_calls(world), "it is in step")
                 self.assertLess(len(world.calls) - before, 8, "a few calls")
@@ -176,7 +204,7 @@
                 self.wait(lambda: any(line["event"] == "feed.lost" for line in router.log()), "it is refused")
                 client = router.client()
                 before, lines = len(world.calls), len(router.log())
-                for part in range(60):           # it goes on serving by what it knows
+                for part in range(60):  # it goes on serving by what it knows
                     self.assertEqual(client.ask("page", part=part).kind, "served")
                     time.sleep(0.05)
                 self.assertLessEqual(len(world.calls) - before, 1, "calls in 3 s")
