--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,7 +1,7 @@
 """Scale tests of all roles, written to docs/capacity/*.json.
 
-    python -m benchmarks.capacity                       all sweeps; some ten minutes
-    python -m benchmarks.capacity --quick               small ones of each, within a minute; nothing is written
+    python -m benchmarks.capacity                      all sweeps; some ten minutes
+    python -m benchmarks.capacity --quick      small ones of each, within a minute; nothing is written
     python -m benchmarks.capacity --only feed,replicas  some of them
     python -m benchmarks.capacity --before DIR          the sweep `behind` on a compiled earlier program as well
     python -m benchmarks.capacity --page                docs/CAPACITY.md anew from what is written there
@@ -190,7 +190,7 @@
 
 def measured(name: str, by: str, runs: dict[float, Run], count: int) -> dict[str, Any]:
     """One sweep."""
-    rows = []
+    rows: list[dict[str, Any]] = []
     for x, run in runs.items():
         began = time.monotonic()
         rows.append({"x": x, "figures": rounds(count, run)})
