--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -3,7 +3,7 @@
     python -m benchmarks.capacity                      all sweeps; some ten minutes
     python -m benchmarks.capacity --quick      small ones of each, within a minute; nothing is written
     python -m benchmarks.capacity --only feed,replicas  some of them
-    python -m benchmarks.capacity --before DIR          the sweep `behind` on a compiled earlier program as well
+    python -m benchmarks.capacity --before DIR       `behind` on a compiled earlier program as well
     python -m benchmarks.capacity --page                docs/CAPACITY.md anew from what is written there
 
 A row has the median, the least and the most of its rounds.  Nothing else may run on the machine meanwhile.
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -21,7 +21,7 @@
     from kelpcroft.controllog.subscription import Outcome, Subscription
     from kelpcroft.operator.model import Replicas
 
-HOLLOW_MOST = 3              # answers in a row that came at once with nothing new, before one is no answer
+EMPTY_ANSWERS_MOST = 3       # in a row, that came at once with nothing new; more are no answers
 
 
 def concerns(purge: m.Purge, attempt: Attempt) -> bool:
@@ -43,7 +43,7 @@
         self.parts = self.past = 0                           # events of a long answer; purges left out of it
         self.replicas: Replicas | None = None                # told by the operator's file
         self.subscription: Subscription | None = None        # to them, in place of the feed
-        self.hollow = 0                                      # answers in a row that came at once with nothing
+        self.empty_answers = 0                               # answers in a row that came at once with nothing
         self.hasty = False                                   # the last call was to be answered at once
 
     @property
@@ -150,13 +150,13 @@
             return
         fresh = bool(news.events or news.faults or self.parts) or news.last != self.seen
         quick = not self.hasty and self.state.now - self.called_ns < self.watch().wait_ns // 2
-        self.hollow = 0 if fresh or not quick else self.hollow + 1
+        self.empty_answers = 0 if fresh or not quick else self.empty_answers + 1
         anew = self.take(news)
         repeated = self.parts > 0 and self.seen <= self.called_at
         self.end_pieces()
         if repeated:
             self.call_in(self.listing.failed(wasted=news.read))
-        elif anew or self.hollow >= (1 if self.listing.bounded else HOLLOW_MOST):
+        elif anew or self.empty_answers >= (1 if self.listing.bounded else EMPTY_ANSWERS_MOST):
             self.call_in(self.listing.failed())
         else:
             self.listing.answered()
--- /dev/null
+++ b/tests/test_replica_file.py
@@ -0,0 +1,117 @@
+"""A control replica's file, its command, and the wire of its watchers."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpcroft.cli import main
+from kelpcroft.controllog.follower import Position
+from kelpcroft.net.watchers import CallError, EventsCall, StateCall, WatcherCodec
+from kelpcroft.operator.replica import ReplicaFile, load
+from kelplab.standin import ROOT
+
+EXAMPLE = (ROOT / "examples/control-replica.kdl").read_text()
+CONFIG = str(ROOT / "examples/config.json")
+MS = 10**6
+
+
+class File(unittest.TestCase):
+    def test_the_example(self) -> None:
+        file, faults = load(EXAMPLE.encode())
+        self.assertEqual(faults, [])
+        self.assertEqual(file, ReplicaFile(("127.0.0.1", 7100), (("127.0.0.1", 9400),)))
+
+    def test_each_fault_by_its_code_and_line(self) -> None:
+        for old, new, due in (
+            ("control-replica version=1\n", "", ("no-version", 1)),
+            ("version=1", "version=2", ("unknown-version", 1)),
+            ("version=1", "", ("unknown-version", 1)),
+            ('"127.0.0.1:7100"', '"7100"', ("bad-address", 2)),
+            ('listen "127.0.0.1:7100"', "", ("missing-value", 1)),
+            ('list-service "127.0.0.1:9400"', "", ("missing-value", 1)),
+            ('"127.0.0.1:9400"', "", ("missing-value", 3)),
+            ('"127.0.0.1:9400"', '"a:1" "a:1"', ("duplicate-name", 3)),
+            ('"3s"', '"500ms"', ("bad-duration", 4)),
+            ('"400ms"', '"4s"', ("bad-duration", 5)),
+            ('"400ms"', "400", ("wrong-type", 5)),
+            ("watches 1000", "watches 0", ("bad-count", 6)),
+            ("watches", "watch", ("unknown-node", 6)),
+            ("lease", 'batch "1s"\nlease', ("duplicate-node", 6)),
+        ):
+            with self.subTest(new=new, old=old):
+                _, faults = load(EXAMPLE.replace(old, new, 1).encode())
+                self.assertIn(due, [(f.code, f.place.line) for f in faults])
+
+    def test_a_peer_alone_will_do(self) -> None:
+        file, faults = load(EXAMPLE.replace("list-service", "peer").encode())
+        self.assertEqual((faults, file.peers), ([], (("127.0.0.1", 9400),)))
+
+    def test_the_command(self) -> None:
+        run = CliRunner().invoke
+        words = [
+            "control-replica",
+            str(ROOT / "examples/control-replica.kdl"),
+            "--config",
+            CONFIG,
+            "--dry-run",
+        ]
+        told = run(main, words)
+        self.assertEqual(told.exit_code, 0, told.output)
+        self.assertIn(
+            "1000 watchers at 127.0.0.1:7100 from 127.0.0.1:9400; a purge matters for 66 s", told.output
+        )
+        with CliRunner().isolated_filesystem():
+            Path("bad.kdl").write_text("control-replica version=1\n")
+            self.assertEqual(run(main, ["control-replica", "bad.kdl", "--config", CONFIG]).exit_code, 1)
+            self.assertEqual(run(main, ["control-replica", "none.kdl", "--config", CONFIG]).exit_code, 2)
+
+
+class Wire(unittest.TestCase):
+    def test_calls(self) -> None:
+        codec = WatcherCodec()
+        data = (
+            b"GET /v1/events?SUB=41&wait=1000 HTTP/1.1\r\nHost: a\r\n\r\n"
+            b"GET /v1/events?SUB=41&wait=10&mark=0a0b HTTP/1.1\r\n\r\nGET /control/state HTTP/1.1\r\n\r\n"
+        )
+        found = [one for n in range(0, len(data), 7) for one in codec.feed(data[n : n + 7])]
+        self.assertEqual(
+            found,
+            [
+                EventsCall(Position(41), False, 1_000 * MS),
+                EventsCall(Position(41, "0a0b"), True, 10 * MS),
+                StateCall(),
+            ],
+        )
+
+    def test_what_is_no_call(self) -> None:
+        for data in (
+            b"GET /v1/events HTTP/1.1\r\n\r\n",
+            b"GET /v1/events?SUB=x&wait=1 HTTP/1.1\r\n\r\n",
+            b"GET /v1/events?SUB=1&wait=1&mark=UPPER HTTP/1.1\r\n\r\n",
+            b"GET /v1/events?SUB=" + b"1" * 30 + b"&wait=1 HTTP/1.1\r\n\r\n",
+            b"POST /v1/events?SUB=1&wait=1 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx",
+            b"GET /" + b"x" * 9_000,
+            b"\x00garbage\r\n\r\n",
+            b"GET /control/state HTTP/1.1\r\n\r\n" * 9,
+        ):
+            with self.subTest(data=data[:60]), self.assertRaises(CallError):
+                WatcherCodec().feed(data)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.binary(max_size=300), st.integers(1, 50))
+    def test_any_bytes_are_calls_or_none(self, data: bytes, size: int) -> None:
+        codec = WatcherCodec()
+        try:
+            for n in range(0, len(data), size):
+                codec.feed(data[n : n + size])
+        except CallError:
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
