--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -19,17 +19,24 @@
 from kelpcroft.core.reducer import LAST, Reducer
 from kelpcroft.log import EventLog
 from kelpcroft.net import control, front, handing, listeners, shelf
-from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
+from kelpcroft.net.buffers import SIZE, BufferPool
 from kelpcroft.net.clock import Clock
-from kelpcroft.net.feed import SNAPSHOT_MOST, WHOLE_MOST, FeedCodec, FeedError, poll_request
+from kelpcroft.net.connections import (
+    ClientConnection,
+    Connection,
+    ControlConnection,
+    FeedConnection,
+    ServerConnection,
+)
+from kelpcroft.net.feed import FeedError, poll_request
 from kelpcroft.net.memory import peak_kb
 from kelpcroft.start.watch import late
 from zincgrade.interface import Settings
 
 SECOND = 1_000_000_000
-READS = 2                    # buffers read from one connection before the others have their turn
+MAX_READS_PER_TURN = 2       # buffers read from one connection before the others have their turn
 RESTED_NS = 20_000_000       # a server's connection is looked at before a write after so long a rest
-ACCEPTS = 64                 # connections accepted before the others have their turn
+MAX_ACCEPTS_PER_TURN = 64                 # connections accepted before the others have their turn
 SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
 RULES_NS = 3_000_000         # the operator's file is read for so long in one turn
 CLIENTS_NS = 20_000_000      # new requests are taken for so long in one turn
@@ -42,91 +49,22 @@
 SPARED_NS = SECOND // 10     # when clients are too many, one that was heard so lately does not go for another
 STALLED_NS = SECOND // 5     # the rest of a server's answer follows sooner, or does not come
 CLEAN_NS = SECOND // 10      # between looks at silent, idle, stalled and stuck connections
-COMPLAINTS = 2               # lines about bad clients between such looks: they come by the hundred
-STUCK_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
+MAX_MALFORMED_LOGS_PER_SWEEP = 2  # lines about bad clients between such looks: they come in hundreds
+WRITE_STALL_TIMEOUT_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
 EMPTY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # nothing is left to make a socket of
 DOWN = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT)
 POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
 STALL_NS = SECOND // 4       # a look that comes so late: the machine or the process stood still
 BLIND_NS = SECOND // 25      # after that the feed has so long to tell what is new, before all else
 BLIND_EVERY_NS = SECOND      # between two such waits
-PART_NS = SECOND             # a client whose connection we have ended has so long to end it too ...
-PART_BYTES = 1 << 20         # ... and sends so much at the most that is read and thrown away
-UNHEARD_NS = SECOND          # at the end, requests that still wait unread put it off for so long at most
+LINGERING_CLOSE_TIMEOUT_NS = SECOND  # a client whose connection we have ended ends it by then ...
+LINGERING_CLOSE_MAX_BYTES = 1 << 20         # ... and sends so much at the most that is read and thrown away
+SHUTDOWN_DRAIN_TIMEOUT_NS = SECOND  # at the end, requests that wait unread put it off so long at most
 LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
 CALLER_NS = 5 * SECOND       # a caller has so long for its call and to read the answer
 NEW_NS = SECOND              # in a drain, a client that has said nothing is let go after so long
 
 
-
-class Peer:
-    """A connection of any kind."""
-
-    order = 0                    # in one turn of the loop, lower ones are read first
-
-    def __init__(self, sock: socket.socket, pool: BufferPool, now: int) -> None:
-        self.sock = sock
-        self.backlog = Backlog(pool)
-        self.up = False
-        self.events = 0          # registered with the selector
-        self.ready_ns = 0        # no later than this its unread input came; 0 = there is none
-        self.moved_ns = now      # when something was last written, or nothing waited
-
-
-class Client(Peer):
-    """A client's connection."""
-
-    order = 2
-
-    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
-        super().__init__(sock, pool, now)
-        self.number, self.codec, self.up = number, front.FrontCodec(number, SIZE), True
-        self.said = False        # a whole message has come
-        self.heard_ns = now      # when the last one did, or else the connection
-        self.begun_ns = 0        # when the message began of which a part has come
-        self.untaken: deque[tuple[int, m.Call | m.AskHealth]] = deque()  # read, and when; not told yet
-        self.leaving = False     # nothing more is taken from it, and nothing more is owed
-        self.parted_ns = 0       # since when its connection is being ended
-        self.thrown = 0          # bytes read since then, and thrown away
-
-
-class Server(Peer):
-    """A connection to a cache, a parent or the origin."""
-
-    order = 1
-
-    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int) -> None:
-        super().__init__(sock, pool, now)
-        self.number, self.codec = number, shelf.ShelfCodec(number)
-        self.read_ns = now       # when bytes last came
-        self.put = 0             # bytes handed over to be written, in all
-        self.pulls: deque[tuple[int, str]] = deque()  # attempts not all written: up to which byte, and id
-        self.half = False        # part of an answer has come
-
-
-class Caller(Peer):
-    """A connection to the control address: one call, one answer, then the end."""
-
-    def __init__(self, number: int, sock: socket.socket, pool: BufferPool, now: int, state: bool) -> None:
-        super().__init__(sock, pool, now)
-        self.number, self.codec, self.up = number, control.ControlCodec(state), True
-        self.opened_ns = now
-        self.answered = False    # the answer is written, or waits to be; what comes after is not read
-
-
-class Feed(Peer):
-    """A connection to the feed, with the poll that is out on it."""
-
-    def __init__(self, sock: socket.socket, pool: BufferPool, now: int, replica: bool) -> None:
-        """``replica``: it is a control replica, whose snapshots are bounded and taken as one."""
-        super().__init__(sock, pool, now)
-        self.codec = FeedCodec(SNAPSHOT_MOST if replica else WHOLE_MOST)
-        self.polled_ns = now
-        self.wait_ns = self.late_ns = 0
-        self.heard_ns = 0        # when bytes last came
-        self.waits = False
-
-
 class Loop:
     """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
 
@@ -144,24 +82,24 @@
         self.selector = selectors.DefaultSelector()
         self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)  # of unwritten bytes
         self.scratch = bytearray(SIZE)       # what is read, one connection at a time
-        self.clients: dict[int, Client] = {}
-        self.parting: dict[int, Client] = {}             # whose connections are being ended: longest first
-        self.servers: dict[int, Server] = {}
-        self.feed: Feed | None = None
+        self.clients: dict[int, ClientConnection] = {}
+        self.parting: dict[int, ClientConnection] = {}  # being ended, longest first
+        self.servers: dict[int, ServerConnection] = {}
+        self.feed: FeedConnection | None = None
         self.shares = shared_out(config.sockets)
         self.listener: socket.socket | None = None
         self.heeded: set[socket.socket] = set()          # listening sockets that are watched
         self.mgmt: socket.socket | None = None           # the control address
-        self.callers: dict[int, Caller] = {}
+        self.callers: dict[int, ControlConnection] = {}
         self.releasing = False                           # clients go once nothing is owed them
         self.made = 0
         self.heap: list[tuple[int, int, m.Key]] = []
-        self.dirty: dict[Peer, None] = {}
-        self.lost: list[tuple[Peer, str]] = []
-        self.hung: list[tuple[Client, str]] = []         # to be let go, by the reducer's word
+        self.dirty: dict[Connection, None] = {}
+        self.lost: list[tuple[Connection, str]] = []
+        self.hung: list[tuple[ClientConnection, str]] = []         # to be let go, by the reducer's word
         self.undialled: list[m.LinkLost | m.FeedLost] = []  # connections that could not even be begun
         self.stopping = False
-        self.untaken: dict[Client, None] = {}            # clients with something read and not told
+        self.untaken: dict[ClientConnection, None] = {}            # clients with something read and not told
         self.paced_ns = 0        # when leavers were last heard
         self.unheard_ns = 0      # the end is put off until then at most, for requests that wait unread
         self.cleaned_ns = self.complaints = 0
@@ -242,7 +180,7 @@
         until = self.clock.now() + LINGER_NS
         while (self.clients or self.parting) and self.clock.now() < until:
             for key, _ in self.selector.select((until - self.clock.now()) / SECOND):
-                if isinstance(key.data, Client):
+                if isinstance(key.data, ClientConnection):
                     try:
                         ended = not key.data.sock.recv(SIZE)
                     except BlockingIOError:
@@ -271,7 +209,7 @@
         before, self.selected_ns = self.selected_ns, self.clock.now()
         if now - before > STALL_NS or self.selected_ns - now - int(min(wait, 1.0) * SECOND) > STALL_NS:
             self.look_first()
-        turns: tuple[list[tuple[Peer, int]], ...] = ([], [], [])
+        turns: tuple[list[tuple[Connection, int]], ...] = ([], [], [])
         for key, events in ready:
             peer = key.data
             if peer is not None:
@@ -306,7 +244,7 @@
             due = heapq.heappop(self.heap)[2]
             if due[0] is m.Timer.LAME and due[1] == LAST and self.unheard(now):
                 self.made += 1               # no two entries of the heap may be compared by their keys
-                heapq.heappush(self.heap, (now + UNHEARD_NS // 100, self.made, due))
+                heapq.heappush(self.heap, (now + SHUTDOWN_DRAIN_TIMEOUT_NS // 100, self.made, due))
             else:
                 self.tell(m.Due(due))
                 self.pace()
@@ -322,7 +260,7 @@
         its answer before the end."""
         if not self.reducer.ending or self.reducer.state.requests:
             return False
-        self.unheard_ns = self.unheard_ns or now + UNHEARD_NS
+        self.unheard_ns = self.unheard_ns or now + SHUTDOWN_DRAIN_TIMEOUT_NS
         return now < self.unheard_ns and (bool(self.untaken) or any(map(self.unread, self.clients.values())))
 
     def look_first(self) -> None:
@@ -355,20 +293,21 @@
             if self.clock.now() > until:
                 return
 
-    def serve(self, peer: Peer, events: int) -> None:
+    def serve(self, peer: Connection, events: int) -> None:
         """What the selector said of one connection, unless what came before it has closed it."""
         if events & selectors.EVENT_WRITE and peer.sock.fileno() >= 0:
             self.writable(peer)
         if events & selectors.EVENT_READ and peer.sock.fileno() >= 0:
             self.read(peer)
 
-    def hear_leavers(self, ready: list[tuple[Peer, int]], before: int) -> None:
+    def hear_leavers(self, ready: list[tuple[Connection, int]], before: int) -> None:
         """Read clients that have something open, before anything is sent for them: a close or a cancel counts
         at once, requests wait for ``take_requests``.  Closes used to wait behind answers, time-outs and
         others' requests, and a router short of CPU went on for clients that were long gone."""
         for at, (peer, events) in enumerate(ready):
-            if (isinstance(peer, Client) and events & selectors.EVENT_READ and peer.sock.fileno() >= 0
-                    and peer.number in self.reducer.state.calls and len(peer.untaken) < UNTAKEN_MOST):
+            if (isinstance(peer, ClientConnection) and events & selectors.EVENT_READ
+                    and peer.sock.fileno() >= 0 and peer.number in self.reducer.state.calls
+                    and len(peer.untaken) < UNTAKEN_MOST):
                 self.waited_ns = self.clock.now() - (peer.ready_ns or before)
                 peer.ready_ns = 0
                 self.read(peer)
@@ -381,11 +320,11 @@
             return
         self.flush()
         looked = self.selector.select(0)
-        self.hear_leavers([(key.data, events) for key, events in looked if isinstance(key.data, Client)],
-                          self.paced_ns)
+        clients = [found for found in looked if isinstance(found[0].data, ClientConnection)]
+        self.hear_leavers([(key.data, events) for key, events in clients], self.paced_ns)
         self.paced_ns = now
 
-    def take_requests(self, ready: list[tuple[Peer, int]], before: int) -> None:
+    def take_requests(self, ready: list[tuple[Connection, int]], before: int) -> None:
         """New requests, for a bounded time: the rest wait where they are, so that a router short of CPU still
         hears the feed and passes answers on.  What has waited may have come since the last look before."""
         until = self.selected_ns + CLIENTS_NS
@@ -401,11 +340,11 @@
                 self.waited_ns = self.clock.now() - peer.ready_ns
                 peer.ready_ns = 0
                 self.serve(peer, events)
-            if isinstance(peer, Client):
+            if isinstance(peer, ClientConnection):
                 self.take(peer)
             self.pace()
 
-    def take(self, client: Client) -> None:
+    def take(self, client: ClientConnection) -> None:
         """Tell what a client has sent, in its order."""
         while client.untaken and not client.leaving:
             read_ns, message = client.untaken.popleft()
@@ -422,7 +361,7 @@
         while self.dirty or self.lost or self.hung or self.undialled:
             dirty, self.dirty = self.dirty, {}
             for peer in dirty:
-                if isinstance(peer, Server) and peer.pulls and peer.up and peer.sock.fileno() >= 0:
+                if isinstance(peer, ServerConnection) and peer.pulls and peer.up and peer.sock.fileno() >= 0:
                     # One that rested may have been ended by its server since the selector was asked.
                     if self.clock.now() - max(peer.read_ns, peer.moved_ns) > RESTED_NS:
                         self.read(peer)
@@ -550,7 +489,7 @@
             # Said once what asked for it is carried out.  Nothing was opened, so nothing is to be closed.
             self.undialled.append(m.LinkLost(e.link, str(error)))
             return
-        self.servers[e.link] = Server(e.link, sock, self.pool, now)
+        self.servers[e.link] = ServerConnection(e.link, sock, self.pool, now)
         self.watch(self.servers[e.link], selectors.EVENT_WRITE)
 
     def poll(self, e: m.Poll) -> None:
@@ -559,7 +498,7 @@
             return  # one poll at a time: a wake-up from before a move may ask for a second
         if self.feed is None:
             try:
-                self.feed = Feed(self.connect(self.feed_at), self.pool, now, e.mark is not None)
+                self.feed = FeedConnection(self.connect(self.feed_at), self.pool, now, e.mark is not None)
             except OSError as error:
                 self.undialled.append(m.FeedLost(str(error)))
                 return
@@ -572,7 +511,7 @@
 
     # Sockets ----------------------------------------------------------------------------------------------
 
-    def watch(self, peer: Peer, events: int) -> None:
+    def watch(self, peer: Connection, events: int) -> None:
         """What the selector is to say of a connection."""
         if events == peer.events:
             return
@@ -584,10 +523,10 @@
             self.selector.unregister(peer.sock)
         peer.events = events
 
-    def wanted(self, peer: Peer) -> int:
+    def wanted(self, peer: Connection) -> int:
         """Read, unless it is a client that does not read itself; write, where something waits."""
         waits = peer.backlog.size()
-        return (0 if isinstance(peer, Client) and waits > SLOW_BYTES else selectors.EVENT_READ) | (
+        return (0 if isinstance(peer, ClientConnection) and waits > SLOW_BYTES else selectors.EVENT_READ) | (
             selectors.EVENT_WRITE if waits else 0)
 
     def stop_accepting(self) -> None:
@@ -596,7 +535,7 @@
         if self.listener is None:
             return
         if self.config.inherited is None:
-            for _ in range(listeners.BACKLOG // ACCEPTS):
+            for _ in range(listeners.BACKLOG // MAX_ACCEPTS_PER_TURN):
                 if not self.accept():
                     break
         self.heed(self.listener, False)
@@ -606,7 +545,7 @@
     def accept(self) -> bool:
         """Take clients that wait.  Whether more may wait."""
         assert self.listener
-        for _ in range(ACCEPTS):
+        for _ in range(MAX_ACCEPTS_PER_TURN):
             if len(self.clients) >= self.shares.clients and not self.make_room():
                 self.heed(self.listener, False)
                 return False
@@ -625,7 +564,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.made += 1
-            client = self.clients[self.made] = Client(self.made, sock, self.pool, self.clock.now())
+            client = self.clients[self.made] = ClientConnection(self.made, sock, self.pool, self.clock.now())
             self.watch(client, selectors.EVENT_READ)
             self.tell(m.ClientCame(client.number))
         return True
@@ -633,18 +572,18 @@
     def not_accepted(self, what: str, error: OSError) -> None:
         self.log("accept.failed", f"{what}: {error}", {"why": str(error)}, "warning")
 
-    def writable(self, peer: Peer) -> None:
+    def writable(self, peer: Connection) -> None:
         if not peer.up:
             code = peer.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 self.lose(peer, errno.errorcode.get(code, str(code)), code in DOWN)
                 return
             peer.up = True
-            if isinstance(peer, Server):
+            if isinstance(peer, ServerConnection):
                 self.tell(m.LinkUp(peer.number))
         self.write(peer)
 
-    def write(self, peer: Peer) -> None:
+    def write(self, peer: Connection) -> None:
         before = peer.backlog.size()
         try:
             room = peer.backlog.write(peer.sock)
@@ -654,7 +593,7 @@
         after = peer.backlog.size()
         if not after or after < before:
             peer.moved_ns = self.clock.now()
-        if isinstance(peer, Server):
+        if isinstance(peer, ServerConnection):
             while peer.pulls and peer.pulls[0][0] <= peer.backlog.sent:
                 peer.pulls.popleft()
         if not room:
@@ -662,48 +601,48 @@
             return
         self.watch(peer, self.wanted(peer))
         if not after:
-            if isinstance(peer, Caller):
+            if isinstance(peer, ControlConnection):
                 self.ended(peer)
-            elif isinstance(peer, Client):
+            elif isinstance(peer, ClientConnection):
                 if peer.leaving:
                     self.shut(peer)
                 elif self.releasing:
                     self.let_go(peer)
 
-    def read(self, peer: Peer) -> None:
+    def read(self, peer: Connection) -> None:
         """A few buffers from one connection."""
-        if isinstance(peer, Caller):
+        if isinstance(peer, ControlConnection):
             self.hear(peer)
             return
-        if isinstance(peer, Client) and peer.leaving:
+        if isinstance(peer, ClientConnection) and peer.leaving:
             self.throw_away(peer)
             return
         # One buffer of the loop's own: codecs copy what they keep, so it is free again when this returns, and
         # clients that do not read, whose answers hold the pool, cannot keep anyone from being read.
         buffer = self.scratch
         try:
-            for _ in range(READS):
+            for _ in range(MAX_READS_PER_TURN):
                 got = peer.sock.recv_into(buffer)
                 if not got:
                     self.lose(peer, "")
                     return
                 self.take_in(peer, memoryview(buffer)[:got])
-                waited = isinstance(peer, Client) and self.waited_ns > GONE_NS
+                waited = isinstance(peer, ClientConnection) and self.waited_ns > GONE_NS
                 if got < SIZE and not waited or peer.sock.fileno() < 0:
                     return
         except BlockingIOError:
             pass
         except (front.FrontError, FeedError) as error:
-            if isinstance(peer, Client):
+            if isinstance(peer, ClientConnection):
                 self.part(peer, f"malformed: {error}")
             else:
                 self.lose(peer, f"malformed: {error}")
         except OSError as error:
             self.lose(peer, error.strerror or str(error))
 
-    def take_in(self, peer: Peer, data: memoryview) -> None:
+    def take_in(self, peer: Connection, data: memoryview) -> None:
         """Bytes to their codec, what it makes of them to the reducer."""
-        if isinstance(peer, Feed):
+        if isinstance(peer, FeedConnection):
             peer.heard_ns = self.clock.now()
             try:
                 found = peer.codec.feed(data)
@@ -717,7 +656,7 @@
                     if not peer.codec.keeps:
                         self.close(peer)
                 self.tell(news)
-        elif isinstance(peer, Server):
+        elif isinstance(peer, ServerConnection):
             peer.read_ns = self.clock.now()
             for answer in peer.codec.feed(data):
                 self.tell(answer)
@@ -726,7 +665,7 @@
             elif peer.half != peer.codec.partial():
                 peer.half = not peer.half
                 self.tell(m.LinkHalf(peer.number, peer.half))
-        elif isinstance(peer, Client):
+        elif isinstance(peer, ClientConnection):
             messages, now = peer.codec.feed(data, self.waited_ns), self.clock.now()
             if messages:
                 peer.said, peer.heard_ns, peer.begun_ns = True, now, 0
@@ -750,7 +689,7 @@
     def accept_callers(self) -> None:
         """Callers of the control address; past their bound the longest open goes for a new one."""
         assert self.mgmt
-        for _ in range(ACCEPTS):
+        for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 sock, _ = self.mgmt.accept()
             except BlockingIOError:
@@ -771,7 +710,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a close takes along what waits
             self.made += 1
-            caller = Caller(self.made, sock, self.pool, self.clock.now(), self.exposed)
+            caller = ControlConnection(self.made, sock, self.pool, self.clock.now(), self.exposed)
             self.callers[self.made] = caller
             self.watch(caller, selectors.EVENT_READ)
 
@@ -785,7 +724,7 @@
             instance = f"{os.getpid()}-{self.clock.now():x}"
             self.tell(m.Identity(of_program(Path(__file__).parent.parent), instance))
 
-    def hear(self, caller: Caller) -> None:
+    def hear(self, caller: ControlConnection) -> None:
         """What a caller sent: a whole call goes to the reducer; what is no call is answered here."""
         try:
             data = caller.sock.recv(control.READ_SIZE)
@@ -804,13 +743,13 @@
             elif said is not None:
                 self.reply(caller, said)
 
-    def reply(self, caller: Caller, answer: bytes) -> None:
+    def reply(self, caller: ControlConnection, answer: bytes) -> None:
         """Write the one answer; the connection ends once it is out."""
         caller.answered = True
         caller.backlog.add((answer,))
         self.dirty[caller] = None
 
-    def ended(self, caller: Caller) -> None:
+    def ended(self, caller: ControlConnection) -> None:
         """The answer is out: no more is written, and the caller's close, or the time of callers, ends it."""
         try:
             caller.sock.shutdown(socket.SHUT_WR)
@@ -829,7 +768,7 @@
 
     # Draining ---------------------------------------------------------------------------------------------
 
-    def let_go(self, client: Client) -> None:
+    def let_go(self, client: ClientConnection) -> None:
         """In a drain, close a client's connection once nothing is owed on it, nothing of it is half read,
         and nothing waits unread in the socket: a request that crosses the close is sent again by the
         client, and goes to another router."""
@@ -840,7 +779,7 @@
         if self.spare(client) and not self.unread(client):  # else it is read soon, then let go
             self.part(client)
 
-    def part(self, client: Client, why: str = "") -> None:
+    def part(self, client: ClientConnection, why: str = "") -> None:
         """The one way to end a client's connection.  Nothing more is taken from it and what it has open is
         given up; what was answered is written, then our side ends, and then the client's, or its time is
         over.  Until then what it sends is read and thrown away: a close over unread bytes resets the
@@ -851,7 +790,7 @@
         self.untaken.pop(client, None)
         self.parting[client.number] = self.clients.pop(client.number)
         self.heed(self.listener, True)
-        if why and self.complaints < COMPLAINTS:
+        if why and self.complaints < MAX_MALFORMED_LOGS_PER_SWEEP:
             self.complaints += 1
             self.log("client.lost", f"client {client.number}: {why}",
                      {"client": client.number, "why": why}, "warning")
@@ -860,7 +799,7 @@
         self.shut(client)
         self.tell(m.ClientLost(client.number))
 
-    def shut(self, client: Client) -> None:
+    def shut(self, client: ClientConnection) -> None:
         """End our side of a leaving client's connection, once what was answered is written."""
         if not client.backlog.size() and client not in self.dirty and client.sock.fileno() >= 0:
             try:
@@ -868,16 +807,16 @@
             except OSError:
                 self.close(client)
 
-    def throw_away(self, client: Client) -> None:
+    def throw_away(self, client: ClientConnection) -> None:
         """Input of a client that is leaving."""
         try:
-            for _ in range(READS):
+            for _ in range(MAX_READS_PER_TURN):
                 got = client.sock.recv_into(self.scratch)
                 client.thrown += got
                 if not got:
                     self.lose(client, "")
                     return
-                if client.thrown > PART_BYTES:
+                if client.thrown > LINGERING_CLOSE_MAX_BYTES:
                     self.close(client)
                     return
         except BlockingIOError:
@@ -886,50 +825,50 @@
             self.lose(client, "")
 
     @staticmethod
-    def unread(client: Client) -> bool:
+    def unread(client: ClientConnection) -> bool:
         """Whether something that the client sent waits to be read."""
         try:
             return bool(client.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
             return False
 
-    def lose(self, peer: Peer, why: str, down: bool = False) -> None:
+    def lose(self, peer: Connection, why: str, down: bool = False) -> None:
         """A connection has ended: its socket goes, and the reducer hears of it."""
-        if isinstance(peer, Client):
+        if isinstance(peer, ClientConnection):
             if peer.number in self.clients:
                 self.close(peer)
-                if why and self.complaints < COMPLAINTS:
+                if why and self.complaints < MAX_MALFORMED_LOGS_PER_SWEEP:
                     self.complaints += 1
                     self.log("client.lost", f"client {peer.number}: {why}",
                              {"client": peer.number, "why": why}, "warning")
                 self.tell(m.ClientLost(peer.number))
             elif peer.number in self.parting:
                 self.close(peer)
-        elif isinstance(peer, Server) and peer.number in self.servers:
+        elif isinstance(peer, ServerConnection) and peer.number in self.servers:
             unsent = frozenset(id for end, id in peer.pulls if end > peer.backlog.sent)
             self.close(peer)
             self.tell(m.LinkLost(peer.number, why or "closed by the server", down, unsent))
-        elif isinstance(peer, Feed) and peer is self.feed:
+        elif isinstance(peer, FeedConnection) and peer is self.feed:
             self.blind_ns = 0
             self.close(peer)
             self.tell(m.FeedLost(why or "closed", peer.codec.retry_after_ns, peer.codec.read))
 
-    def close(self, peer: Peer) -> None:
+    def close(self, peer: Connection) -> None:
         if peer.events:
             self.watch(peer, 0)
         peer.backlog.clear()
         self.dirty.pop(peer, None)
         peer.sock.close()
-        if isinstance(peer, Client):
+        if isinstance(peer, ClientConnection):
             self.untaken.pop(peer, None)
             peer.untaken.clear()
             self.clients.pop(peer.number, None)
             self.parting.pop(peer.number, None)
             if len(self.clients) < self.shares.clients:
                 self.heed(self.listener, True)
-        elif isinstance(peer, Server):
+        elif isinstance(peer, ServerConnection):
             self.servers.pop(peer.number, None)
-        elif isinstance(peer, Caller):
+        elif isinstance(peer, ControlConnection):
             self.callers.pop(peer.number, None)
         elif peer is self.feed:
             self.feed = None
@@ -942,24 +881,24 @@
         self.heed(self.mgmt, True)
         for caller in [c for c in self.callers.values() if now - c.opened_ns > CALLER_NS]:
             self.close(caller)
-        for client in [c for c in self.parting.values() if now - c.parted_ns > PART_NS]:
+        for client in [c for c in self.parting.values() if now - c.parted_ns > LINGERING_CLOSE_TIMEOUT_NS]:
             self.close(client)
         if self.releasing:
             for client in list(self.clients.values()):
                 self.let_go(client)
         for peer in [*self.clients.values(), *self.servers.values()]:
-            if peer.backlog.size() and now - peer.moved_ns > STUCK_NS:
+            if peer.backlog.size() and now - peer.moved_ns > WRITE_STALL_TIMEOUT_NS:
                 self.lose(peer, "takes nothing any more")
-            elif isinstance(peer, Server):
+            elif isinstance(peer, ServerConnection):
                 if peer.codec.partial() and now - peer.read_ns > STALLED_NS:
                     self.lose(peer, "an answer has stopped short")
-            elif isinstance(peer, Client) and not peer.ready_ns:
+            elif isinstance(peer, ClientConnection) and not peer.ready_ns:
                 silent = peer.begun_ns or (0 if peer.said else peer.heard_ns)
                 idle = now - peer.heard_ns > IDLE_NS and self.spare(peer)
                 if (silent and now - silent > SILENT_NS or idle) and not self.unread(peer):
                     self.part(peer)
 
-    def spare(self, client: Client) -> bool:
+    def spare(self, client: ClientConnection) -> bool:
         """Whether nothing is owed on a client's connection and nothing waits to be written."""
         waits = client.backlog.size() or client in self.dirty or client.untaken
         return not waits and client.number not in self.reducer.state.calls
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -9,7 +9,13 @@
 from turns import MS, SECOND, Turns, call, done
 
 from kelpcroft import messages as m
-from kelpcroft.net.loop import IDLE_NS, LINGER_NS, PART_BYTES, PART_NS, SILENT_NS
+from kelpcroft.net.loop import (
+    IDLE_NS,
+    LINGER_NS,
+    LINGERING_CLOSE_MAX_BYTES,
+    LINGERING_CLOSE_TIMEOUT_NS,
+    SILENT_NS,
+)
 
 
 class Closing(unittest.TestCase):
@@ -55,9 +61,9 @@
             except OSError:
                 return True
             return len(t.loop.parting) == 1
-        t.until(flood, f"it is over {PART_BYTES} bytes")
+        t.until(flood, f"it is over {LINGERING_CLOSE_MAX_BYTES} bytes")
         self.assertFalse(rests.reset)
-        t.turn(PART_NS + 200 * MS)
+        t.turn(LINGERING_CLOSE_TIMEOUT_NS + 200 * MS)
         self.assertEqual(t.loop.parting, {})
 
     def test_those_that_are_let_go_have_a_bound(self) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -7,8 +7,9 @@
 import msgpack
 from turns import MS, SECOND, Peer, Turns, call, done
 
-from kelpcroft.net.loop import CLIENTS_NS, PACE_NS, Server
-from kelpcroft.net.loop import Peer as Ours
+from kelpcroft.net.connections import Connection as Ours
+from kelpcroft.net.connections import ServerConnection
+from kelpcroft.net.loop import CLIENTS_NS, PACE_NS
 
 
 def cancel(number: int) -> bytes:
@@ -54,7 +55,7 @@
         serve, read = t.loop.serve, []
 
         def slow(peer: Ours, events: int) -> None:
-            if isinstance(peer, Server) and not read:
+            if isinstance(peer, ServerConnection) and not read:
                 client.close()
                 t.now += PACE_NS
             read.append(peer)
@@ -101,7 +102,7 @@
 
                 def hide(peer: Ours, events: int, t: Turns = t,  # type: ignore[no-untyped-def]
                          watch=watch) -> None:
-                    if isinstance(peer, Server):
+                    if isinstance(peer, ServerConnection):
                         t.selector.hidden.add(peer.sock)
                     watch(peer, events)
                 t.loop.watch = hide  # type: ignore[method-assign]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,8 +16,9 @@
 from kelpcroft.core.state import MS, SECOND
 from kelpcroft.net.buffers import SIZE, Backlog, BufferPool
 from kelpcroft.net.clock import Clock
+from kelpcroft.net.connections import ClientConnection, ServerConnection
 from kelpcroft.net.front import FrontCodec, FrontError
-from kelpcroft.net.loop import CLIENTS_NS, IDLE_NS, SILENT_NS, STALLED_NS, Client, Loop, Server
+from kelpcroft.net.loop import CLIENTS_NS, IDLE_NS, SILENT_NS, STALLED_NS, Loop
 from kelpcroft.net.shelf import ShelfCodec
 from zincgrade.interface import Note, Outcome
 
@@ -89,7 +90,8 @@
         loop.reducer.start(NOW)
         for number, said, age in (
                 (1, False, SILENT_NS), (2, True, IDLE_NS), (3, True, SILENT_NS), (4, True, 0)):
-            client = loop.clients[number] = Client(number, socket.socket(), loop.pool, NOW - age - MS)
+            client = ClientConnection(number, socket.socket(), loop.pool, NOW - age - MS)
+            loop.clients[number] = client
             client.said = said
             self.addCleanup(client.sock.close)
         loop.clients[3].begun_ns = NOW - MS
@@ -112,7 +114,7 @@
         self.addCleanup(loop.selector.close)
         served: list[int] = []
         loop.serve = lambda peer, events: served.append(peer.number)  # type: ignore[method-assign]
-        peers = [Client(n, socket.socket(), loop.pool, NOW) for n in range(6)]
+        peers = [ClientConnection(n, socket.socket(), loop.pool, NOW) for n in range(6)]
         for peer in peers:
             self.addCleanup(peer.sock.close)
         loop.take_requests([(peer, 1) for peer in peers], NOW - 5)
@@ -230,7 +232,8 @@
         loop = Loop(parse(EXAMPLE, {}), Clock(lambda: NOW))
         self.addCleanup(loop.selector.close)
         for number, data in ((1, GOOD), (2, GOOD[:9])):
-            server = loop.servers[number] = Server(number, socket.socket(), loop.pool, NOW - STALLED_NS - MS)
+            server = ServerConnection(number, socket.socket(), loop.pool, NOW - STALLED_NS - MS)
+            loop.servers[number] = server
             self.addCleanup(server.sock.close)
             server.codec.feed(memoryview(data))
         loop.clean(NOW)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -13,8 +13,9 @@
 from kelpcroft.config import parse
 from kelpcroft.net.buffers import SIZE
 from kelpcroft.net.clock import Clock
+from kelpcroft.net.connections import ClientConnection, ServerConnection
 from kelpcroft.net.front import FrontCodec
-from kelpcroft.net.loop import SLOW_BYTES, Client, Loop, Server
+from kelpcroft.net.loop import SLOW_BYTES, Loop
 from kelpcroft.start.listing import AGAIN_MOST_NS, AGAIN_NS
 
 
@@ -58,7 +59,7 @@
         while loop.pool.take() is not None:
             pass
         ours, theirs = pair(self)
-        server = loop.servers[1] = Server(1, ours, loop.pool, NOW)
+        server = loop.servers[1] = ServerConnection(1, ours, loop.pool, NOW)
         theirs.sendall(GOOD)
         loop.read(server)
         self.assertIn(1, loop.servers)
@@ -69,7 +70,7 @@
         SLOW_BYTES nothing more is read from it, and as it reads, the buffers go back."""
         loop = self.loop()
         ours, theirs = pair(self, 64 * 1024)
-        client = loop.clients[1] = Client(1, ours, loop.pool, NOW)
+        client = loop.clients[1] = ClientConnection(1, ours, loop.pool, NOW)
         owed = 8 * 240_000
         for n in range(8):
             loop.answer(1, (bytes([n]) * 240_000,))
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -23,7 +23,8 @@
     "kelpcroft/core/keys.py", "kelpcroft/core/ledger.py", "kelpcroft/core/links.py",
     "kelpcroft/core/state.py", "kelpcroft/core/requests.py", "kelpcroft/core/attempts.py",
     "kelpcroft/core/members.py", "kelpcroft/core/reducer.py", "kelpcroft/net/front.py",
-    "kelpcroft/net/shelf.py", "kelpcroft/net/buffers.py", "kelpcroft/net/loop.py",
+    "kelpcroft/net/shelf.py", "kelpcroft/net/buffers.py", "kelpcroft/net/connections.py",
+    "kelpcroft/net/loop.py",
 )
 # Compiled apart: what is compiled together is loaded together, and these are wanted only with a file.
 ROUTES = tuple(f"kelpcroft/routes/{name}.py" for name in ("budget", "sketch", "index", "table"))
