--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -10,7 +10,7 @@
 again.  Ways of calling the list service: none (no budget, today's default), the budget of ``start
 list-calls=50`` (or a quarter of the routers, where that is more: a fleet at rest calls so often), and two
 textbook ways, a second with fixed jitter and exponential back-off with full jitter and no budget.  All is of
-one seed and the same every time. """
+one seed and the same every time."""
 
 from __future__ import annotations
 
@@ -42,7 +42,9 @@
 
 
 WAYS: dict[str, tuple[type[Listing], float]] = {
-    "none": (Listing, 0.0), "budget": (Listing, CALLS_PER_S), "fixed": (Fixed, 0.0),
+    "none": (Listing, 0.0),
+    "budget": (Listing, CALLS_PER_S),
+    "fixed": (Fixed, 0.0),
     "exponential": (Exponential, 0.0),
 }
 SERVICES: dict[str, Callable[[], Service]] = {
@@ -65,6 +67,7 @@
         if kind is not Listing:
             router.members.listing = other = kind(self.believed, self.made * 7_919 + n)
             from random import Random
+
             other.random = Random(other.seed).random
         return effects
 
@@ -90,8 +93,12 @@
         for service in args.service:
             for way in args.ways:
                 began = time.monotonic()
-                row = {"routers": routers, "list service": service, "way": way,
-                       **played(routers, way, service, args.seconds, args.rate, args.boxes)}
+                row = {
+                    "routers": routers,
+                    "list service": service,
+                    "way": way,
+                    **played(routers, way, service, args.seconds, args.rate, args.boxes),
+                }
                 if head is None:
                     head = list(row)
                     print("| " + " | ".join(head) + " |\n|" + " --- |" * len(head))
--- a/benchmarks/cold_start_field.py
+++ b/benchmarks/cold_start_field.py
@@ -6,7 +6,7 @@
 the same stand-ins (kelplab/field), with clients at every router.  Printed: calls of the list service in all,
 in the worst second and in the worst second after its return; the time until every router had heard it; the
 share of requests served of those asked in the first 5 and 10 s; memory and CPU of a router, CPU from exec to
-ready apart. The 200 want some 6 GB and take a minute each way. """
+ready apart. The 200 want some 6 GB and take a minute each way."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
         pids = [n.process.pid for n in field.nodes.values() if n.process]
         began, ready, start_cpu = field.began_ns, time.monotonic_ns(), sum(map(cpu, pids))
         back = max(world.down_until, ready)
-        world.down_until = back           # dead until all have started, and for as long again as was said
+        world.down_until = back  # dead until all have started, and for as long again as was said
         heard = 0
         with Load(field, per_s=2.0) as load:
             while time.monotonic_ns() < began + seconds * S or not heard:
@@ -68,11 +68,15 @@
             asked = [a for a in load.asked if a.at_ns < ready + first * S]
             shares.append(sum(any(k == "served" for _, k in a.answers) for a in asked) / max(1, len(asked)))
         return {
-            "routers": len(pids), "all ready s": round((ready - began) / S, 1),
-            "calls": len(calls), "calls in the worst s": worst(calls),
+            "routers": len(pids),
+            "all ready s": round((ready - began) / S, 1),
+            "calls": len(calls),
+            "calls in the worst s": worst(calls),
             "after its return": worst([at for at in calls if at >= back]),
             "all heard s": round((heard - back) / S, 1) if heard else -1.0,
-            "served 5 s": round(shares[0], 3), "10 s": round(shares[1], 3), "MB a router": round(held, 1),
+            "served 5 s": round(shares[0], 3),
+            "10 s": round(shares[1], 3),
+            "MB a router": round(held, 1),
             "CPU to ready ms": round(1_000 * start_cpu / len(pids)),
             "CPU share after": round(cost / span / len(pids), 4),
         }
--- a/benchmarks/cold_start_plot.py
+++ b/benchmarks/cold_start_plot.py
@@ -5,7 +5,7 @@
     python -m benchmarks.cold_start_plot OUT.png [--routers 200] [--seconds 30]
 
 The world of ``kelplab/coldstart.py``: all routers start in the same second, boxes and hubs are cold and
-empty, and the list service bears 200 calls a second. """
+empty, and the list service bears 200 calls a second."""
 
 from __future__ import annotations
 
@@ -17,8 +17,10 @@
 from kelpcroft.start import Begin
 from kelplab.coldstart import START, Fleet, S
 
-WAYS = (("as ever", Begin(), "tab:red"), ("start list-calls=50 store=#true count=#true",
-                                           Begin(50.0, True, True), "tab:blue"))
+WAYS = (
+    ("as ever", Begin(), "tab:red"),
+    ("start list-calls=50 store=#true count=#true", Begin(50.0, True, True), "tab:blue"),
+)
 
 
 class Played(Fleet):
--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -31,7 +31,7 @@
 HALF = 32
 READY = b"GET /control/ready HTTP/1.1\r\nHost: bench\r\n\r\n"
 OUT = b"PUT /control/out-of-service HTTP/1.1\r\nHost: bench\r\n\r\n"
-CROSS_S = 0.050              # a request sent so shortly before a close is sent again by the client
+CROSS_S = 0.050  # a request sent so shortly before a close is sent again by the client
 
 
 def call(address: tuple[str, int], text: bytes) -> tuple[float, bytes]:
@@ -69,8 +69,13 @@
         unpacker, number = msgpack.Unpacker(raw=False), 0
         while not self.stop.is_set():
             number += 1
-            fields = {"trace": f"{n:04x}{number:012x}", "patience": "2000", "entity": f"{number % 97:016x}",
-                      "block": "0", "family": "1"}
+            fields = {
+                "trace": f"{n:04x}{number:012x}",
+                "patience": "2000",
+                "entity": f"{number % 97:016x}",
+                "block": "0",
+                "family": "1",
+            }
             sent = time.monotonic()
             try:
                 sock.sendall(msgpack.packb([0, number, "page", [fields, b""]]))
@@ -142,9 +147,11 @@
     for name, (p50, p99, most) in rows.items():
         print(f"{name:28} {p50:8.2f} {p99:8.2f} {most:8.2f} {p50 / idle:12.2f}")
     print(f"resident memory: {plain:.1f} MB, with {HALF} half calls {held:.1f} MB (ratio {held / plain:.3f})")
-    print(f"drain: {line.decode()} in {took:.1f} ms; every connection closed {last * 1000:.0f} ms after it; "
-          f"after it served {load.served - served_before}, refused {load.refused}, failed {load.failed}, "
-          f"crossed {load.crossed}, lost {load.lost}")
+    print(
+        f"drain: {line.decode()} in {took:.1f} ms; every connection closed {last * 1000:.0f} ms after it; "
+        f"after it served {load.served - served_before}, refused {load.refused}, failed {load.failed}, "
+        f"crossed {load.crossed}, lost {load.lost}"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -31,8 +31,16 @@
 
 def line(name: str, n: int, kind: str, zone: str, state: str = "active") -> dict[str, Any]:
     """One line of the feed's list."""
-    return {"name": name, "address": f"10.1.{n // 250}.{n % 250 + 1}:9090", "zone": zone, "type": kind,
-            "group": n, "status": state, "weight": 1, "since_ms": 0}
+    return {
+        "name": name,
+        "address": f"10.1.{n // 250}.{n % 250 + 1}:9090",
+        "zone": zone,
+        "type": kind,
+        "group": n,
+        "status": state,
+        "weight": 1,
+        "since_ms": 0,
+    }
 
 
 class Fleet(One):
@@ -45,9 +53,11 @@
         parent, origin = kinds[fam["shield_kind"]], kinds[fam["master_kind"]]
         cache = next(k for k in kinds if k not in (parent, origin))
         hub = next(z for z in settings["dcs"] if z != settings["az"])
-        self.lines = [*(line(f"c{n}", n, cache, settings["az"]) for n in range(caches)),
-                      *(line(f"p{n}", 3000 + n, parent, hub) for n in range(parents)),
-                      line("o", 4000, origin, hub)]
+        self.lines = [
+            *(line(f"c{n}", n, cache, settings["az"]) for n in range(caches)),
+            *(line(f"p{n}", 3000 + n, parent, hub) for n in range(parents)),
+            line("o", 4000, origin, hub),
+        ]
         members = {"index": 1, "snapshot": True, "endpoints": self.lines}
         raw["known"] = {"n": 1, "events": [{"n": 1, "members": members}]}
         raw["limits"] = {**raw.get("limits", {}), "sockets": 1024, "memory_mb": 192}
@@ -96,13 +106,19 @@
         assert sum(one.request() > 500 for _ in range(100)) == 100, "every request is served"
     found: dict[tuple[tuple[int, int], str], list[float]] = {}
     for turn in range(ROUNDS):
-        for size in SIZES[turn % len(SIZES):] + SIZES[:turn % len(SIZES)]:
+        for size in SIZES[turn % len(SIZES) :] + SIZES[: turn % len(SIZES)]:
             one = fleet[size]
             for name, work in (("request", one.request), ("list event", one.change), ("tick", one.tick)):
                 found.setdefault((size, name), []).append(cost(work, BATCH))
     command = [sys.executable, "-m", "benchmarks.fleet_cost", "--memory"]
-    held = {size: int(subprocess.run([*command, *map(str, size)], cwd=ROOT, capture_output=True, text=True,
-                                     check=True).stdout) for size in SIZES}
+    held = {
+        size: int(
+            subprocess.run(
+                [*command, *map(str, size)], cwd=ROOT, capture_output=True, text=True, check=True
+            ).stdout
+        )
+        for size in SIZES
+    }
     kind = "compiled" if COPY.is_dir() else "plain"
     print(f"{kind}, {ROUNDS} rounds of {BATCH}; us of CPU, ratio to 20+3")
     for size in SIZES:
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -41,7 +41,8 @@
     rows = "".join(f'route "r{n}" {{ match object="{n:04x}"; }}\n' for n in range(count - 2))
     return (
         "kelpcroft version=1\ndefaults { attempts most=3; }\n"
-        'route "orders" { match class="order"; attempts most=1; }\n' + rows
+        'route "orders" { match class="order"; attempts most=1; }\n'
+        + rows
         + 'route "rest" { match class="page"; }\n'
     )
 
--- a/benchmarks/rollout_field.py
+++ b/benchmarks/rollout_field.py
@@ -5,7 +5,7 @@
 Six routers in two zones under load (kelplab/field); builds with a defect (kelplab/field/builds.py).  ``at
 once``: all are changed in the same instant and taken back after so many seconds as the staged rollout
 took.  Harm is the number of requests that were not served within 150 ms, less what the sound build has at the
-same load; printed with the routers touched and the ratio of the two ways. """
+same load; printed with the routers touched and the ratio of the two ways."""
 
 from __future__ import annotations
 
@@ -45,7 +45,9 @@
             began = time.monotonic()
             process = subprocess.Popen(
                 [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"],
-                cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
             )
             while process.poll() is None and time.monotonic() - began < LONGEST_S:
                 for node in field.nodes.values():  # a supervisor: what died is started again as it was
@@ -61,9 +63,10 @@
 
 def at_once(defect: str, folder: Path, seconds: float) -> int:
     """Requests harmed where every router has it for so long."""
-    with Field(2, 3, {"old": ROOT, "new": build(folder / "again", defect)}) as field, Load(
-        field, PER_S, orders=5
-    ) as load:
+    with (
+        Field(2, 3, {"old": ROOT, "new": build(folder / "again", defect)}) as field,
+        Load(field, PER_S, orders=5) as load,
+    ):
         time.sleep(2)
         for node in field.nodes.values():
             node.change("new")
@@ -87,8 +90,10 @@
             harm, touched, took, ended = staged(defect, Path(name))
             all_at_once = at_once(defect, Path(name), took)
         ratio = f"{harm / all_at_once:.3f}" if all_at_once else "-"
-        print(f"| {defect:20} | {harm} | {touched} | {took:.0f} | {ended} | {all_at_once} | {ratio} |",
-              flush=True)
+        print(
+            f"| {defect:20} | {harm} | {touched} | {took:.0f} | {ended} | {all_at_once} | {ratio} |",
+            flush=True,
+        )
     return 0
 
 
--- a/benchmarks/rollout_judge.py
+++ b/benchmarks/rollout_judge.py
@@ -98,9 +98,7 @@
         f"{runs} rollouts a row; stated: false stops {rates.false_stop}, missed harm {rates.missed_harm} "
         f"of {rates.harm}"
     )
-    print(
-        "  harm  usual   own  req/s    worse     fine     open  median s  us/slice"
-    )
+    print("  harm  usual   own  req/s    worse     fine     open  median s  us/slice")
     bad = 0
     with ProcessPoolExecutor() as pool:  # a row has its own seed: the same on any number of cores
         for line, wrong in pool.map(row, ROWS, [runs] * len(ROWS), [seconds] * len(ROWS)):
--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -20,7 +20,7 @@
 def main() -> int:
     """Serve until SIGTERM or SIGINT.  Signals are taken from the first line on: one that comes while the
     configuration is read waits in the pipe until the loop looks."""
-    ours, theirs = os.pipe()     # a pipe, not a socket pair: only TCP and UDP sockets are to be had
+    ours, theirs = os.pipe()  # a pipe, not a socket pair: only TCP and UDP sockets are to be had
     for end in (ours, theirs):
         os.set_blocking(end, False)
     signal.set_wakeup_fd(theirs, warn_on_full_buffer=False)
@@ -34,6 +34,7 @@
     first = rules = None
     if os.environ.get("ROUTER_RULES"):
         from kelpcroft.operator.service import start, steps  # not even imported without a file
+
         try:
             first = start(os.environ["ROUTER_RULES"], config.settings)
         except ConfigError as error:
@@ -41,8 +42,11 @@
             return 2
         rules = partial(steps, os.environ["ROUTER_RULES"])
     try:
-        listener = (listeners.adopt(config.inherited) if config.inherited is not None
-                    else listeners.bound("listen", config.listen))
+        listener = (
+            listeners.adopt(config.inherited)
+            if config.inherited is not None
+            else listeners.bound("listen", config.listen)
+        )
         mgmt = listeners.bound("mgmt", config.mgmt) if config.mgmt is not None else None
     except ConfigError as error:
         print(f"configuration: {error}", file=sys.stderr)
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -20,7 +20,7 @@
 from zincgrade.simhost import Kinds, settings_of
 
 NS_PER_MS = 1_000_000
-FILE_MOST = 16 << 20        # bytes of a configuration read again
+FILE_MOST = 16 << 20  # bytes of a configuration read again
 
 
 class ConfigError(ValueError):
@@ -39,16 +39,16 @@
     feed: Address
     sockets: int
     memory_mb: int
-    max_streams: int         # attempts that one connection to a server carries
-    idle_ns: int             # servers close a connection that has been idle for so long
+    max_streams: int  # attempts that one connection to a server carries
+    idle_ns: int  # servers close a connection that has been idle for so long
     dial_ns: int
     settings: Settings
     kinds: Kinds
     known: News
-    trace: bool = False      # ROUTER_TRACE=1: every step of every attempt goes to the log
-    mgmt: Address | None = None   # the control address, if any
+    trace: bool = False  # ROUTER_TRACE=1: every step of every attempt goes to the log
+    mgmt: Address | None = None  # the control address, if any
     inherited: int | None = None  # ROUTER_FD: a listening socket's descriptor, served on and not bound
-    state_dir: str = ""      # $TMPDIR: where a process leaves its state of service for the next
+    state_dir: str = ""  # $TMPDIR: where a process leaves its state of service for the next
     raw: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
     doubts: tuple[Finding, ...] = ()  # what is odd in it, and starts all the same
 
@@ -107,10 +107,16 @@
     if config.sockets <= most:
         return config
     if most < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: the system gives this process {most} descriptors; "
-                          f"{LEAST_SOCKETS} at the least would do")
-    doubt = Finding("doubt", "limits.sockets", f"{config.sockets}, but the system gives {most}",
-                    f"a limit of that many; {most} are counted on")
+        raise ConfigError(
+            f"limits.sockets: the system gives this process {most} descriptors; "
+            f"{LEAST_SOCKETS} at the least would do"
+        )
+    doubt = Finding(
+        "doubt",
+        "limits.sockets",
+        f"{config.sockets}, but the system gives {most}",
+        f"a limit of that many; {most} are counted on",
+    )
     return replace(config, sockets=most, doubts=(*config.doubts, doubt))
 
 
@@ -168,6 +174,12 @@
         max_streams=number("settings.limits.max_streams", lim.get("max_streams"), 1, 1),
         idle_ns=number("settings.limits.conn_idle_ns", lim.get("conn_idle_ns"), 0, 0),
         dial_ns=number("settings.limits.dial_timeout_ns", lim.get("dial_timeout_ns"), 1, 400 * NS_PER_MS),
-        settings=settings, kinds=kinds, known=known, trace=environ.get("ROUTER_TRACE") == "1", raw=raw,
+        settings=settings,
+        kinds=kinds,
+        known=known,
+        trace=environ.get("ROUTER_TRACE") == "1",
+        raw=raw,
         mgmt=address_of("ROUTER_MGMT" if environ.get("ROUTER_MGMT") else "mgmt", mgmt) if mgmt else None,
-        inherited=int(fd) if fd else None, state_dir=environ.get("TMPDIR", ""))
+        inherited=int(fd) if fd else None,
+        state_dir=environ.get("TMPDIR", ""),
+    )
--- a/kelpcroft/core/attempts.py
+++ b/kelpcroft/core/attempts.py
@@ -17,14 +17,14 @@
 if TYPE_CHECKING:
     from kelpcroft.routes import Grant
 
-IDLE_SHARE = 0.7             # of the servers' idle time after which we close: a send never meets their close
-SPENT_NS = 10 * SECOND       # how long a given-up or answered id is kept off its connection
-QUIET_LEAST_NS = 300 * MS    # a connection may be quiet so long at the least ...
+IDLE_SHARE = 0.7  # of the servers' idle time after which we close: a send never meets their close
+SPENT_NS = 10 * SECOND  # how long a given-up or answered id is kept off its connection
+QUIET_LEAST_NS = 300 * MS  # a connection may be quiet so long at the least ...
 QUIET_DEVS, TOOK_GAIN = 4.0, 0.05  # ... or so many mean deviations past an answer's usual time; its averaging
-QUIET_OUT = 3                # with so many out on it, it need not be heard that the server answers others
+QUIET_OUT = 3  # with so many out on it, it need not be heard that the server answers others
 LASTED = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends whose time tells how long answers take
-HEARD_NS = SECOND            # a server that was heard so lately lives, though it refuses a connection
-DIALS_MOST = 3               # connections that are tried for one attempt while each breaks at once
+HEARD_NS = SECOND  # a server that was heard so lately lives, though it refuses a connection
+DIALS_MOST = 3  # connections that are tried for one attempt while each breaks at once
 
 
 class Attempts:
@@ -87,7 +87,7 @@
         if self.state.traced:
             self.state.trace("up", server=link.server, link=number, waiting=len(link.waiting))
         waiting, link.waiting = link.waiting, {}
-        link.out.update(waiting)             # all at once: one that ends here must not leave an idle link
+        link.out.update(waiting)  # all at once: one that ends here must not leave an idle link
         for id, n in waiting.items():
             if n in self.state.probes:
                 self.state.effects.append(m.Check(number, id))
@@ -100,17 +100,33 @@
         if link is None:
             return
         if self.state.traced:
-            self.state.trace("lost", server=link.server, link=lost.link, up=link.up, why=lost.why,
-                             down=lost.down, load=link.load())
+            self.state.trace(
+                "lost",
+                server=link.server,
+                link=lost.link,
+                up=link.up,
+                why=lost.why,
+                down=lost.down,
+                load=link.load(),
+            )
         if link.load():
             out = link.load()
-            self.state.log("link.lost", f"connection to {link.server} lost with {out} out: {lost.why}",
-                           "warning", {"server": link.server, "out": out, "why": lost.why})
+            self.state.log(
+                "link.lost",
+                f"connection to {link.server} lost with {out} out: {lost.why}",
+                "warning",
+                {"server": link.server, "out": out, "why": lost.why},
+            )
         # A server that was heard on another connection just now is not gone: it has no place for one more.
         # What waited takes the others, and where it cannot, the module chooses anew.
-        crowded = lost.down and not link.up and any(
-            o.up and self.state.now - o.heard_ns < HEARD_NS
-            for o in self.state.links.by_server.get(link.server, ()))
+        crowded = (
+            lost.down
+            and not link.up
+            and any(
+                o.up and self.state.now - o.heard_ns < HEARD_NS
+                for o in self.state.links.by_server.get(link.server, ())
+            )
+        )
         if crowded:
             self.state.tally["no place"] += 1
             self.state.links.no_place(link.server, self.state.now)
@@ -206,8 +222,14 @@
         for attempt in [a for a in self.state.attempts.values() if not a.sent and stale(a)]:
             self.ended(attempt, Outcome.MOOT)
 
-    def ended(self, attempt: Attempt, outcome: Outcome, note: Note = Note.NONE, waited_ns: int = 0,
-              report: dict[str, float] | None = None) -> None:
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        note: Note = Note.NONE,
+        waited_ns: int = 0,
+        report: dict[str, float] | None = None,
+    ) -> None:
         """An attempt's end, told to the module once."""
         if not holds(self.state.attempts.pop(attempt.number, None) is not None, "an attempt ends once"):
             return
@@ -223,10 +245,20 @@
         if not request.ran and request.call.nonce:
             self.state.keys.not_run(request.call.cls, request.call.nonce, attempt.number)
         if self.state.traced:
-            self.state.trace("ended", id=request.call.trace, cls=request.call.cls, server=attempt.fetch.cache,
-                             source=attempt.fetch.source, n=attempt.index, outcome=outcome.name,
-                             note=note.name, took=self.state.now - attempt.began_ns, waited=waited_ns,
-                             sent=attempt.sent, report=report or {})
+            self.state.trace(
+                "ended",
+                id=request.call.trace,
+                cls=request.call.cls,
+                server=attempt.fetch.cache,
+                source=attempt.fetch.source,
+                n=attempt.index,
+                outcome=outcome.name,
+                note=note.name,
+                took=self.state.now - attempt.began_ns,
+                waited=waited_ns,
+                sent=attempt.sent,
+                report=report or {},
+            )
         if attempt.store and self.state.window is not None:
             late = self.late_at_store(attempt, outcome, note, waited_ns)
             self.state.window.ended(self.state.now, attempt.began_ns, late)
@@ -237,14 +269,27 @@
         grant = request.grant
         if grant is not None and grant.learns and attempt.sent and outcome in LASTED:
             grant.saw(self.state.now, self.state.now - attempt.began_ns)
-        self.state.events.append(api.AttemptEnded(
-            request.id, attempt.index, attempt.fetch.cache, outcome, self.state.now - attempt.began_ns,
-            request.answered, note, waited_ns, report or {}))
+        self.state.events.append(
+            api.AttemptEnded(
+                request.id,
+                attempt.index,
+                attempt.fetch.cache,
+                outcome,
+                self.state.now - attempt.began_ns,
+                request.answered,
+                note,
+                waited_ns,
+                report or {},
+            )
+        )
 
     def late_at_store(self, attempt: Attempt, outcome: Outcome, note: Note, waited_ns: int) -> bool | None:
         """Whether the store took too long over a fetch; None where its end does not tell."""
-        if outcome in (Outcome.TIMEOUT, Outcome.FULL) or note in (Note.SOURCE_REFUSED, Note.SOURCE_BROKE,
-                                                                  Note.ORIGIN_FAILED):
+        if outcome in (Outcome.TIMEOUT, Outcome.FULL) or note in (
+            Note.SOURCE_REFUSED,
+            Note.SOURCE_BROKE,
+            Note.ORIGIN_FAILED,
+        ):
             return True
         if outcome is not Outcome.OK or note is Note.HIT and attempt.fetch.cache != attempt.fetch.source:
             return None
@@ -354,14 +399,23 @@
         cls = self.state.classes.get(c.cls)
         if c.nonce and cls is not None and cls.effect is not api.Effect.SAFE:
             ran = self.state.keys.find(self.state.now, c.cls, c.nonce)
-            if (ran and cls.effect is api.Effect.KEYED
-                    and self.state.now + self.state.settings.tick_ns >= ran.sent_ns + cls.window_ns):
+            if (
+                ran
+                and cls.effect is api.Effect.KEYED
+                and self.state.now + self.state.settings.tick_ns >= ran.sent_ns + cls.window_ns
+            ):
                 # It was chosen in time and waited for its connection until its key's window was over.
                 self.ended(attempt, Outcome.MOOT)
                 return
             line = self.state.endpoints.get(f.cache)
-            self.state.keys.sent(self.state.now, cls, c.nonce, attempt.number, line.zone if line else "",
-                                 line.cell if line else 0)
+            self.state.keys.sent(
+                self.state.now,
+                cls,
+                c.nonce,
+                attempt.number,
+                line.zone if line else "",
+                line.cell if line else 0,
+            )
         attempt.sent = True
         if not attempt.link.watched:
             attempt.link.watched = True
@@ -369,15 +423,38 @@
             self.state.wake(self.quiet_ns() // half, Timer.QUIET, attempt.link.number)
         due = min(attempt.began_ns + f.timeout_ns, attempt.request.deadline_ns)
         if self.state.traced:
-            self.state.trace("sent", id=c.trace, cls=c.cls, server=f.cache, source=f.source, n=attempt.index,
-                             rank=f.rank, held_only=f.held_only, late=self.state.now - attempt.began_ns,
-                             limit=due - self.state.now)
-        self.state.effects.append(m.Pull(
-            link=attempt.link.number, id=c.trace, cls=c.cls, object=c.object, part=c.part,
-            limit_ms=max(1, (due - self.state.now) // MS), source="" if f.source == f.cache else f.source,
-            rank=f.rank, age_limit_ms=max(1, f.max_age_ns // MS) if f.max_age_ns else 0, join=f.join,
-            held_only=f.held_only, no_parent_copy=f.no_parent_copy, renew=f.renew, tag=c.tag, body=c.body,
-            nonce=c.nonce))
+            self.state.trace(
+                "sent",
+                id=c.trace,
+                cls=c.cls,
+                server=f.cache,
+                source=f.source,
+                n=attempt.index,
+                rank=f.rank,
+                held_only=f.held_only,
+                late=self.state.now - attempt.began_ns,
+                limit=due - self.state.now,
+            )
+        self.state.effects.append(
+            m.Pull(
+                link=attempt.link.number,
+                id=c.trace,
+                cls=c.cls,
+                object=c.object,
+                part=c.part,
+                limit_ms=max(1, (due - self.state.now) // MS),
+                source="" if f.source == f.cache else f.source,
+                rank=f.rank,
+                age_limit_ms=max(1, f.max_age_ns // MS) if f.max_age_ns else 0,
+                join=f.join,
+                held_only=f.held_only,
+                no_parent_copy=f.no_parent_copy,
+                renew=f.renew,
+                tag=c.tag,
+                body=c.body,
+                nonce=c.nonce,
+            )
+        )
 
     def link_for(self, server: str, request: Request | None) -> Link | None:
         """A connection for one more, opened if need be.  What must not run twice goes out on one of its own:
@@ -391,8 +468,12 @@
             if link:
                 self.state.tally["dials"] += 1
                 if self.state.traced:
-                    self.state.trace("dial", server=server, link=link.number,
-                                     standing=len(self.state.links.by_server[server]) - 1)
+                    self.state.trace(
+                        "dial",
+                        server=server,
+                        link=link.number,
+                        standing=len(self.state.links.by_server[server]) - 1,
+                    )
                 self.state.effects.append(m.Dial(link.number, endpoint.address))
                 self.state.wake(self.state.config.dial_ns, Timer.DIAL, link.number)
         if link and not link.load():
--- a/kelpcroft/core/descriptors.py
+++ b/kelpcroft/core/descriptors.py
@@ -8,12 +8,12 @@
 
 from dataclasses import dataclass
 
-LEAST = 64                   # under this no useful number of clients and servers fits
-CLIENT_SHARE = 3             # clients hold at most one of so many descriptors, by the platform's word ...
-SPARE_CLIENTS = 8            # ... and these over it, for some are closed and not yet gone when others come
-PART_SHARE, PART_LEAST = 32, 2      # one of so many for clients that are being let go
+LEAST = 64  # under this no useful number of clients and servers fits
+CLIENT_SHARE = 3  # clients hold at most one of so many descriptors, by the platform's word ...
+SPARE_CLIENTS = 8  # ... and these over it, for some are closed and not yet gone when others come
+PART_SHARE, PART_LEAST = 32, 2  # one of so many for clients that are being let go
 CALLER_SHARE, CALLERS_LEAST, CALLERS_MOST = 32, 4, 32  # and for callers of the control address
-OWN = 16                     # streams, selector, pipe of signals, two listeners, the feed, files read again
+OWN = 16  # streams, selector, pipe of signals, two listeners, the feed, files read again
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpcroft/core/keys.py
+++ b/kelpcroft/core/keys.py
@@ -16,8 +16,8 @@
 
 from zincgrade.interface import Ran, RequestClass
 
-KEYS_MOST = 65_536           # some 10 MB at the longest keys
-Key = tuple[str, str]        # class and nonce
+KEYS_MOST = 65_536  # some 10 MB at the longest keys
+Key = tuple[str, str]  # class and nonce
 
 
 @dataclass(slots=True)
@@ -25,7 +25,7 @@
     """A key's first send that may have run."""
 
     ran: Ran
-    attempt: int             # the number of that attempt: proof that it never ran takes the entry back
+    attempt: int  # the number of that attempt: proof that it never ran takes the entry back
     until_ns: int
 
 
@@ -34,8 +34,8 @@
 
     def __init__(self, most: int = KEYS_MOST) -> None:
         self.most = most
-        self.entries: OrderedDict[Key, Entry] = OrderedDict()   # in the order of their first sends
-        self.open: set[Key] = set()                             # of requests that owe their answer
+        self.entries: OrderedDict[Key, Entry] = OrderedDict()  # in the order of their first sends
+        self.open: set[Key] = set()  # of requests that owe their answer
 
     def full(self, now: int) -> bool:
         """Whether no further key can be taken."""
--- a/kelpcroft/core/ledger.py
+++ b/kelpcroft/core/ledger.py
@@ -18,10 +18,10 @@
 
     asked: int = 0
     served: int = 0
-    late: int = 0            # of the served
+    late: int = 0  # of the served
     refused: int = 0
     failed: int = 0
-    gone: int = 0            # their clients left
+    gone: int = 0  # their clients left
     attempts: int = 0
     worth: float = 0.0
     in_time: float = 0.0
@@ -65,7 +65,17 @@
 
     def tell(self) -> dict[str, dict[str, float]]:
         """All counts, as numbers by name."""
-        return {cls: {"asked": c.asked, "served": c.served, "late": c.late, "refused": c.refused,
-                      "failed": c.failed, "gone": c.gone, "attempts": c.attempts,
-                      "worth": round(c.worth, 3), "in_time": round(c.in_time, 3)}
-                for cls, c in self.classes.items()}
+        return {
+            cls: {
+                "asked": c.asked,
+                "served": c.served,
+                "late": c.late,
+                "refused": c.refused,
+                "failed": c.failed,
+                "gone": c.gone,
+                "attempts": c.attempts,
+                "worth": round(c.worth, 3),
+                "in_time": round(c.in_time, 3),
+            }
+            for cls, c in self.classes.items()
+        }
--- a/kelpcroft/core/links.py
+++ b/kelpcroft/core/links.py
@@ -7,9 +7,9 @@
 from kelpcroft.messages import Endpoint
 from zincgrade.estimate import mix
 
-SHARED = 8                   # attempts that one connection carries, before one more is opened
-EACH_MOST = 8                # connections to one server, before they carry more
-PLACE_NS = 100_000_000       # a server without a place is dialled again after so long, doubling with each ...
+SHARED = 8  # attempts that one connection carries, before one more is opened
+EACH_MOST = 8  # connections to one server, before they carry more
+PLACE_NS = 100_000_000  # a server without a place is dialled again after so long, doubling with each ...
 PLACE_MOST_NS = 6_400_000_000  # ... refusal in a row up to this, half more or less by chance
 
 
@@ -20,16 +20,16 @@
     number: int
     server: str
     up: bool = False
-    waiting: dict[str, int] = field(default_factory=dict)    # not written, as it does not stand yet
-    out: dict[str, int] = field(default_factory=dict)        # written and unanswered
-    spent: dict[str, int] = field(default_factory=dict)      # ids that ended without a final answer, and when
-    heard_ns: int = 0                                        # last answer
-    idle_ns: int = 0                                         # when it last had something out
-    shunned: bool = False                                    # takes nothing new; closed once empty
-    asked_ns: int = 0                    # when it was last asked whether it answers at all
-    watched: bool = False                                    # a wake-up looks whether it has gone quiet
-    alone: bool = False                                      # carries one that must not fail with others
-    half: bool = False                                       # part of an answer has come
+    waiting: dict[str, int] = field(default_factory=dict)  # not written, as it does not stand yet
+    out: dict[str, int] = field(default_factory=dict)  # written and unanswered
+    spent: dict[str, int] = field(default_factory=dict)  # ids that ended without a final answer, and when
+    heard_ns: int = 0  # last answer
+    idle_ns: int = 0  # when it last had something out
+    shunned: bool = False  # takes nothing new; closed once empty
+    asked_ns: int = 0  # when it was last asked whether it answers at all
+    watched: bool = False  # a wake-up looks whether it has gone quiet
+    alone: bool = False  # carries one that must not fail with others
+    half: bool = False  # part of an answer has come
 
     def load(self) -> int:
         """Attempts that it carries."""
@@ -40,9 +40,15 @@
         again: an answer that crossed the KILL, or a second copy, would be taken for the second attempt's.  On
         one that is idle with half an answer, nothing goes out: the rest may never come."""
         load = self.load()
-        return (not self.shunned and load < most and not (load and (alone or self.alone))
-                and not (self.half and not load)
-                and id not in self.waiting and id not in self.out and id not in self.spent)
+        return (
+            not self.shunned
+            and load < most
+            and not (load and (alone or self.alone))
+            and not (self.half and not load)
+            and id not in self.waiting
+            and id not in self.out
+            and id not in self.spent
+        )
 
 
 class Links:
--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -17,11 +17,11 @@
 from zincgrade import interface as api
 from zincgrade.estimate import mix
 
-if TYPE_CHECKING:                # imported where a file switches it on
+if TYPE_CHECKING:  # imported where a file switches it on
     from kelpcroft.controllog.subscription import Outcome, Subscription
     from kelpcroft.operator.model import Replicas
 
-EMPTY_ANSWERS_MOST = 3       # in a row, that came at once with nothing new; more are no answers
+EMPTY_ANSWERS_MOST = 3  # in a row, that came at once with nothing new; more are no answers
 
 
 def concerns(purge: m.Purge, attempt: Attempt) -> bool:
@@ -35,16 +35,16 @@
 
     def __init__(self, state: State, attempts: Attempts, drive: Callable[[], None]) -> None:
         self.state, self.attempts, self.drive = state, attempts, drive
-        self.view = View()                                   # what is known, up to which event
-        self.listed = False                                  # a list has come
+        self.view = View()  # what is known, up to which event
+        self.listed = False  # a list has come
         self.feed_at = state.config.feed
         self.listing = Listing(state.config.settings.instances, 0)
-        self.called_ns = self.called_at = 0                  # when the feed was last called, from which event
-        self.parts = self.past = 0                           # events of a long answer; purges left out of it
-        self.replicas: Replicas | None = None                # told by the operator's file
-        self.subscription: Subscription | None = None        # to them, in place of the feed
-        self.empty_answers = 0                               # answers in a row that came at once with nothing
-        self.hasty = False                                   # the last call was to be answered at once
+        self.called_ns = self.called_at = 0  # when the feed was last called, from which event
+        self.parts = self.past = 0  # events of a long answer; purges left out of it
+        self.replicas: Replicas | None = None  # told by the operator's file
+        self.subscription: Subscription | None = None  # to them, in place of the feed
+        self.empty_answers = 0  # answers in a row that came at once with nothing
+        self.hasty = False  # the last call was to be answered at once
 
     @property
     def seen(self) -> int:
@@ -78,6 +78,7 @@
             self.call()
             return
         from kelpcroft.controllog.subscription import Subscription
+
         seed = mix(self.state.own ^ self.state.now)
         self.subscription = Subscription(self.state.now, replicas.addresses, replicas.stale_ns, seed)
         self.state.effects.append(m.Move(self.subscription.address))
@@ -87,6 +88,7 @@
         """An answer of a control replica.  Its snapshots are bounded: what comes in pieces is not from
         one."""
         from kelpcroft.controllog.follower import Head
+
         if news.more:
             self.parts += 1
             return
@@ -100,7 +102,7 @@
         assert self.subscription is not None
         if outcome.verdict.value == "take":
             if whole:
-                self.view.seen = 0           # of another log: what it says now is all that counts
+                self.view.seen = 0  # of another log: what it says now is all that counts
             self.view.answer(max(self.seen, news.last))
             self.take_events(news)
             self.view.seen = news.last
@@ -120,8 +122,11 @@
                 self.take_purge(event)
                 continue
             known = self.view.lines
-            going = [e for e in event.endpoints if e.state != IN_SERVICE and e.name in known
-                     and e.started_ns >= known[e.name].started_ns]
+            going = [
+                e
+                for e in event.endpoints
+                if e.state != IN_SERVICE and e.name in known and e.started_ns >= known[e.name].started_ns
+            ]
             if going and not self.foreign(event):
                 self.view.take(going, False)
                 self.on_members(m.Members(False, tuple(going), event.number))
@@ -131,8 +136,12 @@
         assert self.subscription is not None
         host, port = self.subscription.address
         if not self.subscription.sources.failures:
-            self.state.log("replica.left", f"control replica {host}:{port} is left: {why}", "warning",
-                           {"replica": f"{host}:{port}", "why": why})
+            self.state.log(
+                "replica.left",
+                f"control replica {host}:{port} is left: {why}",
+                "warning",
+                {"replica": f"{host}:{port}", "why": why},
+            )
         self.parts = 0
         wait_ns = self.subscription.moved(self.state.now)
         self.state.effects.append(m.Move(self.subscription.address))
@@ -165,8 +174,12 @@
     def take_piece(self, news: m.News) -> None:
         """Part of an answer that is too long to be taken as one, as after hours without the feed."""
         if not self.parts:
-            self.state.log("feed.behind", f"feed: far behind at event {self.called_at}: the answer is taken "
-                           "event by event", "info", {"from": self.called_at})
+            self.state.log(
+                "feed.behind",
+                f"feed: far behind at event {self.called_at}: the answer is taken event by event",
+                "info",
+                {"from": self.called_at},
+            )
         self.parts += len(news.events) + len(news.faults)
         self.take_events(news)
         self.view.reached(news.last)
@@ -174,9 +187,13 @@
     def end_pieces(self) -> None:
         """Such an answer has ended or broken off: what came of it stays."""
         if self.parts:
-            self.state.log("feed.pieces", f"feed: {self.parts} events of a long answer taken, up to "
-                           f"{self.seen}; {self.past} purges of them no longer matter", "info",
-                           {"events": self.parts, "to": self.seen, "past": self.past})
+            self.state.log(
+                "feed.pieces",
+                f"feed: {self.parts} events of a long answer taken, up to "
+                f"{self.seen}; {self.past} purges of them no longer matter",
+                "info",
+                {"events": self.parts, "to": self.seen, "past": self.past},
+            )
         self.parts = self.past = 0
 
     def call_in(self, wait_ns: int) -> None:
@@ -220,8 +237,12 @@
         before = self.seen
         anew = self.view.over(self.state.now, news.last)
         if anew:
-            self.state.log("feed.renumbered", f"feed: its numbers went back from {before} to {news.last}: "
-                           "the whole list is asked for", "warning", {"before": before, "after": news.last})
+            self.state.log(
+                "feed.renumbered",
+                f"feed: its numbers went back from {before} to {news.last}: the whole list is asked for",
+                "warning",
+                {"before": before, "after": news.last},
+            )
         return anew
 
     def take_events(self, news: m.News) -> None:
@@ -274,17 +295,28 @@
                 self.leave(name)
         self.listed = True
         if self.state.traced:
-            self.state.trace("list", whole=members.whole, servers=[
-                [e.name, e.kind, e.zone, e.state, e.weight, e.started_ns] for e in members.endpoints])
+            self.state.trace(
+                "list",
+                whole=members.whole,
+                servers=[
+                    [e.name, e.kind, e.zone, e.state, e.weight, e.started_ns] for e in members.endpoints
+                ],
+            )
         for e in members.endpoints:
             if e.state == "in_service":
                 self.state.endpoints[e.name] = e
             else:
                 self.leave(e.name)
         role = self.state.config.kinds.role
-        self.state.events.append(api.ServerList(form, tuple(
-            api.Server(e.name, role(e.kind), e.zone, e.cell, e.state, e.weight, e.started_ns)
-            for e in members.endpoints)))
+        self.state.events.append(
+            api.ServerList(
+                form,
+                tuple(
+                    api.Server(e.name, role(e.kind), e.zone, e.cell, e.state, e.weight, e.started_ns)
+                    for e in members.endpoints
+                ),
+            )
+        )
         self.drive()
         known = self.state.endpoints
         self.attempts.recall(lambda a: a.fetch.cache not in known or a.fetch.source not in known)
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -28,11 +28,11 @@
 if TYPE_CHECKING:
     from kelpcroft.operator.model import Replicas
 
-HOUSE_NS = SECOND            # between looks at idle connections
-COUNT_NS = 10 * SECOND       # between lines of counters in the log
-ACCEPT_NS = 500 * MS         # connections are taken so long after SIGTERM
-LAME_NS = 800 * MS           # and requests on open ones at least so long
-LAST = 2                     # the step of the planned end after which the process is over
+HOUSE_NS = SECOND  # between looks at idle connections
+COUNT_NS = 10 * SECOND  # between lines of counters in the log
+ACCEPT_NS = 500 * MS  # connections are taken so long after SIGTERM
+LAME_NS = 800 * MS  # and requests on open ones at least so long
+LAST = 2  # the step of the planned end after which the process is over
 
 
 class Reducer:
@@ -46,14 +46,15 @@
         self.tuning = Tuning(self.state, self.members)
         self.listening = self.ending = False
         self.service = Service(shared=config.inherited is not None)
-        self.clients: set[int] = set()       # connections of clients that are open
+        self.clients: set[int] = set()  # connections of clients that are open
         self.ended_ns = 0
         self.counted_ns = self.began_ns = 0
         self.identity, self.rules_digest = m.Identity("", ""), ""
         self.beside = Beside(config.settings, self.service.shared)
 
-    def start(self, now: int, begin: Begin | None = None, gentle_ns: int = 0,
-              replicas: Replicas | None = None) -> list[Effect]:
+    def start(
+        self, now: int, begin: Begin | None = None, gentle_ns: int = 0, replicas: Replicas | None = None
+    ) -> list[Effect]:
         """The first effects: what was known at the start is taken in, and the feed is asked for the rest.
         ``begin`` and ``replicas``: what the operator's file says of starts and of the feed; the first call of
         the list is made ``gentle_ns`` later where the router starts again and again."""
@@ -75,11 +76,19 @@
         s = self.state
         missing = lacks(s.settings, frozenset(n.line.role for n in s.policy.nodes.values()) or None)
         if missing:
-            s.log("deployment.lacks", f"this deployment has no {', '.join(missing)}", "info",
-                  {"lacks": list(missing)})
+            s.log(
+                "deployment.lacks",
+                f"this deployment has no {', '.join(missing)}",
+                "info",
+                {"lacks": list(missing)},
+            )
         if s.config.doubts:
-            s.log("deployment.doubts", "; ".join(map(str, s.config.doubts)), "warning",
-                  {"doubts": [f"{d.place}: {d.found}" for d in s.config.doubts]})
+            s.log(
+                "deployment.doubts",
+                "; ".join(map(str, s.config.doubts)),
+                "warning",
+                {"doubts": [f"{d.place}: {d.found}" for d in s.config.doubts]},
+            )
 
     def handle(self, now: int, message: m.Input) -> list[Effect]:
         """One input."""
@@ -180,9 +189,17 @@
 
     def unready(self) -> str:
         """Why this process does not take clients now, or "" where it does."""
-        return ("ending" if self.ending else "out of service" if self.service.mode is Mode.OUT
-                else "not listening yet" if not self.listening else "no list of servers yet"
-                if not self.members.listed else "")
+        return (
+            "ending"
+            if self.ending
+            else "out of service"
+            if self.service.mode is Mode.OUT
+            else "not listening yet"
+            if not self.listening
+            else "no list of servers yet"
+            if not self.members.listed
+            else ""
+        )
 
     def on_control(self, call: m.Control) -> None:
         """A call on the control address, answered in the same turn.  A drain lets clients go once nothing is
@@ -190,12 +207,21 @@
         s, verb, since = self.state, call.verb, self.service.since_ns
         if verb is m.Verb.OUT and self.service.drain(s.now):
             fields = {"open": len(s.requests), "clients": len(self.clients)}
-            s.log("service.out", f"out of service: clients are let go; {fields['open']} requests open, "
-                  f"{fields['clients']} clients", "info", dict(fields))
+            s.log(
+                "service.out",
+                f"out of service: clients are let go; {fields['open']} requests open, "
+                f"{fields['clients']} clients",
+                "info",
+                dict(fields),
+            )
             s.effects += [m.Release(True), m.Keep(False, s.now)]
         elif verb is m.Verb.IN and self.service.resume(s.now):
-            s.log("service.in", f"in service again after {(s.now - since) / SECOND:.1f} s", "info",
-                  {"out_s": round((s.now - since) / SECOND, 3)})
+            s.log(
+                "service.in",
+                f"in service again after {(s.now - since) / SECOND:.1f} s",
+                "info",
+                {"out_s": round((s.now - since) / SECOND, 3)},
+            )
             s.effects += [m.Release(False), m.Keep(True, s.now)]
         why = self.unready()
         if verb is m.Verb.STATE:
@@ -219,12 +245,14 @@
         """What the operator's file says of counting the zone's routers, and of the store."""
         if begin.store and self.state.window is None:
             from kelpcroft.start.store import Window
+
             self.state.window = Window(self.state.now)
         elif not begin.store:
             self.state.window = None
         self.state.share(self.state.part)
         if begin.count and self.state.crowd is None:
             from kelpcroft.start.crowd import Crowd  # nothing of it is imported before a file wants it
+
             self.state.crowd = Crowd(self.state.config.settings.zone_instances)
         elif not begin.count and self.state.crowd is not None:
             self.state.crowd = None
@@ -234,9 +262,13 @@
         """Have the module reckon with so many routers in this zone, and with as many more or fewer in all."""
         s, said = self.state, self.state.config.settings
         if routers != s.settings.zone_instances:
-            s.log("start.routers", f"{routers} routers in this zone are reckoned with, by caches' reports; "
-                  f"the settings say {said.zone_instances}", "info",
-                  {"routers": routers, "said": said.zone_instances})
+            s.log(
+                "start.routers",
+                f"{routers} routers in this zone are reckoned with, by caches' reports; "
+                f"the settings say {said.zone_instances}",
+                "info",
+                {"routers": routers, "said": said.zone_instances},
+            )
             whole = max(routers, round(said.instances * routers / said.zone_instances))
             s.retune(replace(s.settings, zone_instances=routers, instances=whole))
 
@@ -244,25 +276,43 @@
         """What this process is and what became of its requests: bounded, and of no effect on any."""
         s = self.state
         return {
-            "name": s.config.name, "instance": self.identity.instance, "build": self.identity.build,
-            "settings": of_settings(s.used.get("settings")), "rules": self.rules_digest,
-            "started_ms": self.began_ns // MS, "now_ms": s.now // MS,
-            "ready": not why, "why": why, "service": self.service.mode.value,
+            "name": s.config.name,
+            "instance": self.identity.instance,
+            "build": self.identity.build,
+            "settings": of_settings(s.used.get("settings")),
+            "rules": self.rules_digest,
+            "started_ms": self.began_ns // MS,
+            "now_ms": s.now // MS,
+            "ready": not why,
+            "why": why,
+            "service": self.service.mode.value,
             "since_ms": self.service.since_ns // MS,
-            "open": len(s.requests), "attempts": len(s.attempts), "connections": len(s.links.by_number),
-            "clients": len(self.clients), "invariants": sum(broken.values()),
-            "classes": s.ledger.tell() if s.ledger else {}}
+            "open": len(s.requests),
+            "attempts": len(s.attempts),
+            "connections": len(s.links.by_number),
+            "clients": len(self.clients),
+            "invariants": sum(broken.values()),
+            "classes": s.ledger.tell() if s.ledger else {},
+        }
 
     def on_handover(self, handed: m.Handover) -> None:
         """At the start: an operator's drain outlives the process that heard it."""
         s = self.state
         if handed.in_service is None:
             if handed.why:
-                s.log("handover.refused", f"state of the last process not taken: {handed.why}", "warning",
-                      {"why": handed.why})
+                s.log(
+                    "handover.refused",
+                    f"state of the last process not taken: {handed.why}",
+                    "warning",
+                    {"why": handed.why},
+                )
         elif not handed.in_service and self.service.drain(handed.since_ns):
-            s.log("service.out", "out of service, as the last process was: clients are let go", "info",
-                  {"since_s": round((s.now - handed.since_ns) / SECOND, 3), "handed": True})
+            s.log(
+                "service.out",
+                "out of service, as the last process was: clients are let go",
+                "info",
+                {"since_s": round((s.now - handed.since_ns) / SECOND, 3), "handed": True},
+            )
             s.effects.append(m.Release(True))
 
     def on_rules(self, rules: m.Rules) -> None:
@@ -270,13 +320,18 @@
         changes nothing."""
         s = self.state
         if rules.file is None:
-            s.log("rules.refused", f"operator's file not taken: {rules.why}; {rules.faults} in all",
-                  "warning", {"first": rules.why, "faults": rules.faults})
+            s.log(
+                "rules.refused",
+                f"operator's file not taken: {rules.why}; {rules.faults} in all",
+                "warning",
+                {"first": rules.why, "faults": rules.faults},
+            )
             return
         if s.routes is not None:
             s.routes.replace(rules.file, s.now)
         elif rules.file.routes:
             from kelpcroft.routes import Table  # nothing of it is imported before a file wants it
+
             settings = s.config.settings
             s.routes = Table(rules.file, settings.zone, settings.seed, s.now)
         self.rules_digest = rules.digest
@@ -311,8 +366,9 @@
         else:
             self.count()
             if self.service.shared:
-                self.state.effects.append(m.Keep(not self.service.drained, self.service.since_ns,
-                                                 self.state.now, self.ended_ns))
+                self.state.effects.append(
+                    m.Keep(not self.service.drained, self.service.since_ns, self.state.now, self.ended_ns)
+                )
             self.state.effects.append(m.Exit())
 
     def keep_house(self) -> None:
@@ -334,13 +390,21 @@
         """Counters for the log, broken invariants with them."""
         s, self.counted_ns = self.state, self.state.now
         tally = ", ".join(f"{k} {v}" for k, v in s.tally.items())
-        fields = {"open": len(s.requests), "attempts": len(s.attempts),
-                  "connections": len(s.links.by_number)}
-        s.log("router.counters", ", ".join(f"{k} {v}" for k, v in fields.items())
-              + f"; {tally}; broken invariants: {counts() or 'none'}", "info", {**fields, **s.tally})
+        fields = {"open": len(s.requests), "attempts": len(s.attempts), "connections": len(s.links.by_number)}
+        s.log(
+            "router.counters",
+            ", ".join(f"{k} {v}" for k, v in fields.items())
+            + f"; {tally}; broken invariants: {counts() or 'none'}",
+            "info",
+            {**fields, **s.tally},
+        )
         for name, row in s.routes.tell() if s.routes is not None else ():
-            s.log("route.counters", f"{name}: " + ", ".join(f"{k} {v}" for k, v in row.items()), "info",
-                  {"name": name, **row})
+            s.log(
+                "route.counters",
+                f"{name}: " + ", ".join(f"{k} {v}" for k, v in row.items()),
+                "info",
+                {"name": name, **row},
+            )
 
     def drive(self) -> None:
         """Hand events to the module until it has seen all that its own actions caused."""
--- a/kelpcroft/core/requests.py
+++ b/kelpcroft/core/requests.py
@@ -7,7 +7,7 @@
 from kelpcroft.invariants import holds
 from zincgrade import interface as api
 
-OPEN_MOST = 32               # calls that one client may have open
+OPEN_MOST = 32  # calls that one client may have open
 
 
 class Requests:
@@ -22,12 +22,21 @@
         here = self.state.calls.get(c.client, {})
         if c.call in here or len(here) >= OPEN_MOST:
             self.state.tally["hung up on"] += 1
-            self.state.effects.append(m.HangUp(
-                c.client, f"call {c.call} is open already" if c.call in here else "too many calls open"))
+            self.state.effects.append(
+                m.HangUp(
+                    c.client, f"call {c.call} is open already" if c.call in here else "too many calls open"
+                )
+            )
             return
         cls = self.state.classes.get(c.cls)
-        if (c.fault or cls is None or c.patience_ns > 2 * cls.deadline_ns > 0 or c.trace in self.state.traces
-                or cls.effect is api.Effect.KEYED and not c.nonce):
+        if (
+            c.fault
+            or cls is None
+            or c.patience_ns > 2 * cls.deadline_ns > 0
+            or c.trace in self.state.traces
+            or cls.effect is api.Effect.KEYED
+            and not c.nonce
+        ):
             self.state.tally["not usable"] += 1
             if self.state.ledger is not None and cls is not None:
                 self.state.ledger.ended(cls.name, "failed", 0, cls.worth, False)
@@ -50,8 +59,17 @@
         self.state.made += 1
         routes, patience, grant = self.state.routes, c.patience_ns, None
         if routes is not None:
-            grant = routes.take(self.state.now, cls, c.object, c.group, c.part_number, c.retry,
-                                len(c.body) > 0, patience, c.waited_ns)
+            grant = routes.take(
+                self.state.now,
+                cls,
+                c.object,
+                c.group,
+                c.part_number,
+                c.retry,
+                len(c.body) > 0,
+                patience,
+                c.waited_ns,
+            )
             if grant is not None:
                 patience = grant.wait_ns
         request = Request(str(self.state.made), c, self.state.now + patience, grant, patience_ns=patience)
@@ -64,13 +82,31 @@
         self.state.tally["taken"] += 1
         self.state.touched.append(request)
         if self.state.traced:
-            self.state.trace("taken", id=c.trace, cls=c.cls, object=c.object, part=c.part_number,
-                             patience=c.patience_ns, retry=c.retry)
-        self.state.events.append(api.Request(
-            id=request.id, cls=c.cls, patience_ns=patience, object=c.object_number, part=c.part_number,
-            group=c.group, size_kb=c.size_kb, write=len(c.body) > 0, retry=c.retry,
-            bounds=None if grant is None else grant.bounds, ran=ran,
-            once=keyed and c.retry and ran is None))
+            self.state.trace(
+                "taken",
+                id=c.trace,
+                cls=c.cls,
+                object=c.object,
+                part=c.part_number,
+                patience=c.patience_ns,
+                retry=c.retry,
+            )
+        self.state.events.append(
+            api.Request(
+                id=request.id,
+                cls=c.cls,
+                patience_ns=patience,
+                object=c.object_number,
+                part=c.part_number,
+                group=c.group,
+                size_kb=c.size_kb,
+                write=len(c.body) > 0,
+                retry=c.retry,
+                bounds=None if grant is None else grant.bounds,
+                ran=ran,
+                once=keyed and c.retry and ran is None,
+            )
+        )
 
     def turn_away(self, c: m.Call, why: str) -> None:
         """The final answer to a call that is not taken: refused, or failed where an earlier request of its
@@ -103,9 +139,15 @@
         if self.state.ledger is not None:
             self.book(request, answer)
         if self.state.traced:
-            self.state.trace("final", id=request.call.trace, cls=request.call.cls, tries=request.tries,
-                             how=type(answer).__name__ if answer else "gone", out=request.out,
-                             left=request.deadline_ns - self.state.now)
+            self.state.trace(
+                "final",
+                id=request.call.trace,
+                cls=request.call.cls,
+                tries=request.tries,
+                how=type(answer).__name__ if answer else "gone",
+                out=request.out,
+                left=request.deadline_ns - self.state.now,
+            )
         if answer:
             self.state.effects.append(answer)
 
--- a/kelpcroft/core/service.py
+++ b/kelpcroft/core/service.py
@@ -17,15 +17,15 @@
 
 MS = 1_000_000
 SECOND = 1_000 * MS
-DRAIN_CUT_NS = 1_500 * MS    # after a drain, new requests on kept connections are served for so long
-END_CUT_NS = 700 * MS        # after SIGTERM beside another process: later ones could outlive the SIGKILL
-END_HOLD_NS = 2_500 * MS     # an ending process waits so long at most for its clients to go
+DRAIN_CUT_NS = 1_500 * MS  # after a drain, new requests on kept connections are served for so long
+END_CUT_NS = 700 * MS  # after SIGTERM beside another process: later ones could outlive the SIGKILL
+END_HOLD_NS = 2_500 * MS  # an ending process waits so long at most for its clients to go
 
 
 class Mode(Enum):
-    IN = "in"                # takes clients
-    OUT = "out"              # drained: sends them away, stays to be taken back
-    ENDING = "ending"        # SIGTERM: sends them away, then exits
+    IN = "in"  # takes clients
+    OUT = "out"  # drained: sends them away, stays to be taken back
+    ENDING = "ending"  # SIGTERM: sends them away, then exits
 
 
 @dataclass(slots=True)
@@ -33,9 +33,9 @@
     """The state of service of one process."""
 
     mode: Mode = Mode.IN
-    since_ns: int = 0        # when the present mode began
-    shared: bool = False     # the listening socket is shared with another process (``ROUTER_FD``)
-    drained: bool = False    # an operator had it out of service when it was told to end
+    since_ns: int = 0  # when the present mode began
+    shared: bool = False  # the listening socket is shared with another process (``ROUTER_FD``)
+    drained: bool = False  # an operator had it out of service when it was told to end
 
     def drain(self, now: int) -> bool:
         """Out of service; False where it was so already or is ending."""
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -20,7 +20,7 @@
 from zincgrade.estimate import mix
 from zincgrade.policy import Policy
 
-if TYPE_CHECKING:                # imported where a file switches them on
+if TYPE_CHECKING:  # imported where a file switches them on
     from kelpcroft.routes import Grant, Table
     from kelpcroft.start.crowd import Crowd
     from kelpcroft.start.store import Window
@@ -40,8 +40,8 @@
     index: int
     link: Link
     sent: bool = False
-    dials: int = 0                                          # connections that broke before it was sent
-    store: bool = False                                     # counts in the window at the store
+    dials: int = 0  # connections that broke before it was sent
+    store: bool = False  # counts in the window at the store
 
 
 @dataclass(slots=True)
@@ -51,13 +51,13 @@
     id: str
     call: m.Call
     deadline_ns: int
-    grant: Grant | None = None                              # what its route lets it cost
+    grant: Grant | None = None  # what its route lets it cost
     answered: bool = False
     tries: int = 0
-    out: int = 0                                            # attempts
-    ran: bool = False                                       # the last end may have run
-    waits: bool = False                                     # for its next attempt, which is paid for
-    patience_ns: int = 0                                    # of what was left of it when it was taken
+    out: int = 0  # attempts
+    ran: bool = False  # the last end may have run
+    waits: bool = False  # for its next attempt, which is paid for
+    patience_ns: int = 0  # of what was left of it when it was taken
 
 
 @dataclass(slots=True)
@@ -76,31 +76,31 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.policy = Policy(config.settings)
-        self.settings = config.settings                      # as now in use: retuned at SIGHUP
+        self.settings = config.settings  # as now in use: retuned at SIGHUP
         self.classes = {c.name: c for c in config.settings.classes}
-        self.used = config.raw                               # the configuration in use, as read
+        self.used = config.raw  # the configuration in use, as read
         self.own = mix(config.settings.seed ^ int.from_bytes(config.name.encode()[-8:], "big"))
         self.links = Links(shared_out(config.sockets).servers, config.max_streams, self.own)
         self.endpoints: dict[str, m.Endpoint] = {}
-        self.requests: dict[int, Request] = {}               # those that owe an answer
-        self.calls: dict[int, dict[int, Request]] = {}       # the same, by client and call
-        self.traces: set[str] = set()                        # of those
-        self.keys = Keys()                                   # idempotency keys that may have run
+        self.requests: dict[int, Request] = {}  # those that owe an answer
+        self.calls: dict[int, dict[int, Request]] = {}  # the same, by client and call
+        self.traces: set[str] = set()  # of those
+        self.keys = Keys()  # idempotency keys that may have run
         self.attempts: dict[int, Attempt] = {}
-        self.tries: dict[tuple[str, int], int] = {}          # the same, by request and the module's number
+        self.tries: dict[tuple[str, int], int] = {}  # the same, by request and the module's number
         self.probes: dict[int, Probe] = {}
-        self.routes: Table | None = None                     # of the operator's file
-        self.made = 0                                        # numbers given to requests, attempts and probes
-        self.ledger: Ledger | None = None                    # where the operator's file asks for the state
-        self.part, self.store = 1.0, True                    # as the module was told last: api.Part
-        self.window: Window | None = None                    # at the store, while a router begins
-        self.crowd: Crowd | None = None                      # where the operator's file asks for a count
+        self.routes: Table | None = None  # of the operator's file
+        self.made = 0  # numbers given to requests, attempts and probes
+        self.ledger: Ledger | None = None  # where the operator's file asks for the state
+        self.part, self.store = 1.0, True  # as the module was told last: api.Part
+        self.window: Window | None = None  # at the store, while a router begins
+        self.crowd: Crowd | None = None  # where the operator's file asks for a count
         self.tally: Counter[str] = Counter()
         self.effects: list[Effect] = []
-        self.events: deque[api.Event] = deque()              # for the module, of this input
-        self.touched: list[Request] = []                     # new, or with an attempt ended, in this input
+        self.events: deque[api.Event] = deque()  # for the module, of this input
+        self.touched: list[Request] = []  # new, or with an attempt ended, in this input
         self.now = 0
-        self.traced = config.trace                           # every attempt's way is told to the log
+        self.traced = config.trace  # every attempt's way is told to the log
 
     def trace(self, event: str, **fields: object) -> None:
         """One step of a request or of a connection, for tools/fleet_counts.py.  Callers look at ``traced``
@@ -123,6 +123,7 @@
     def wake(self, after_ns: int, timer: Timer, number: int = 0) -> None:
         self.effects.append(m.Wake(self.now + after_ns, (timer, number, 0)))
 
-    def log(self, event: str, text: str, level: str = "info",
-            fields: dict[str, object] | None = None) -> None:
+    def log(
+        self, event: str, text: str, level: str = "info", fields: dict[str, object] | None = None
+    ) -> None:
         self.effects.append(m.Log(event, text, level, fields or {}))
--- a/kelpcroft/core/tuning.py
+++ b/kelpcroft/core/tuning.py
@@ -27,8 +27,8 @@
 
     def __init__(self, state: State, members: Members) -> None:
         self.state, self.members = state, members
-        self.pending: api.Settings | None = None     # to be used once the passage is over
-        self.round = 0                               # of SIGHUPs taken: a passage's end is for the last one
+        self.pending: api.Settings | None = None  # to be used once the passage is over
+        self.round = 0  # of SIGHUPs taken: a passage's end is for the last one
 
     def on_reload(self, r: m.Reload) -> None:
         s = self.state
@@ -51,10 +51,18 @@
             first = faults[0] if faults else retune.Fault("", "cannot be used", "")
             s.tally["files refused"] += 1
             count = f"{len(faults)} fault{'s' if len(faults) != 1 else ''}"
-            s.log("config.refused", f"configuration not taken: {first} (in {r.path}; {count} in all); "
-                  "nothing of it is used", "warning",
-                  {"file": r.path, "place": first.place, "found": first.found, "wanted": first.wanted,
-                   "faults": len(faults)})
+            s.log(
+                "config.refused",
+                f"configuration not taken: {first} (in {r.path}; {count} in all); nothing of it is used",
+                "warning",
+                {
+                    "file": r.path,
+                    "place": first.place,
+                    "found": first.found,
+                    "wanted": first.wanted,
+                    "faults": len(faults),
+                },
+            )
             return
         kept = unchanged(raw["settings"], s.used.get("settings", {}))
         s.used = raw
@@ -66,10 +74,20 @@
             self.pending = retune.settled(s.settings, settings)
             s.wake(retune.PASSAGE_NS, Timer.RETUNE, self.round)
         fields: dict[str, object] = {
-            "file": r.path, "came": list(change.came), "went": list(change.went),
-            "changed": list(change.changed), "attempts": list(change.attempts), "kept": kept}
-        s.log("config.read", f"configuration read again: {where}; {change}"
-              + (f"; kept until the next start: {', '.join(kept)}" if kept else ""), "info", fields)
+            "file": r.path,
+            "came": list(change.came),
+            "went": list(change.went),
+            "changed": list(change.changed),
+            "attempts": list(change.attempts),
+            "kept": kept,
+        }
+        s.log(
+            "config.read",
+            f"configuration read again: {where}; {change}"
+            + (f"; kept until the next start: {', '.join(kept)}" if kept else ""),
+            "info",
+            fields,
+        )
 
     def on_settle(self, round: int) -> None:
         """The passage of the last file is over: its classes and limits alone from now on."""
@@ -78,9 +96,12 @@
         settings, self.pending = self.pending, None
         self.state.retune(settings)
         names, attempts = [c.name for c in settings.classes], settings.limits.max_attempts
-        self.state.log("config.settled", f"settings read again in use alone: classes {', '.join(names)}; "
-                       f"attempts {attempts}", "info",
-                       {"classes": names, "attempts": attempts, "after_s": retune.PASSAGE_NS / SECOND})
+        self.state.log(
+            "config.settled",
+            f"settings read again in use alone: classes {', '.join(names)}; attempts {attempts}",
+            "info",
+            {"classes": names, "attempts": attempts, "after_s": retune.PASSAGE_NS / SECOND},
+        )
 
 
 def unchanged(new: dict[str, Any], old: dict[str, Any]) -> list[str]:
--- a/kelpcroft/deployment/known.py
+++ b/kelpcroft/deployment/known.py
@@ -18,13 +18,20 @@
     """A finite number in a range; ``above``: not its lower end."""
     what = "a whole number" if whole else "a number"
     span = f"{'above' if above else 'of at least'} {least:g}" + (
-        f" and at most {most:g}" if most < math.inf else "")
+        f" and at most {most:g}" if most < math.inf else ""
+    )
 
     def form(value: Any) -> str:
-        good = (isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
-                and least <= value <= most and not (above and value == least)
-                and (not whole or float(value).is_integer()))
+        good = (
+            isinstance(value, (int, float))
+            and not isinstance(value, bool)
+            and math.isfinite(value)
+            and least <= value <= most
+            and not (above and value == least)
+            and (not whole or float(value).is_integer())
+        )
         return "" if good else f"{what} {span} would do"
+
     return form
 
 
@@ -46,6 +53,7 @@
             return "a list would do"
         bad = next((why for why in map(form, value) if why), "")
         return f"a list would do in whose every entry {bad}" if bad else ""
+
     return whole
 
 
@@ -82,9 +90,9 @@
 
     path: str
     form: Form
-    reader: str              # "" = nobody
-    absent: str              # what its absence means; "needed" = the program does not start
-    why: str = ""            # where nobody reads it: why that may be
+    reader: str  # "" = nobody
+    absent: str  # what its absence means; "needed" = the program does not start
+    why: str = ""  # where nobody reads it: why that may be
 
 
 JUDGE = "how the operators judge a day; no decision hangs on it"
@@ -111,16 +119,25 @@
     Key("settings.instances", ONE_UP, "policy: a router's share of parents", "1"),
     Key("settings.self_index", COUNT, "policy: turns at cold servers", "0"),
     Key("settings.machine_types", listed(text), "simhost.Kinds, core.members", "every server is a cache"),
-    Key("settings.weight_source", word("off", "nominal", "rough", "live"), "policy: limits and cold budgets",
-        "off: no weights, capacity is measured"),
+    Key(
+        "settings.weight_source",
+        word("off", "nominal", "rough", "live"),
+        "policy: limits and cold budgets",
+        "off: no weights, capacity is measured",
+    ),
     Key("settings.discovery", word("push", "ask"), "policy", "push"),
     Key("settings.tick_ns", ONE_UP, "policy: margin of a key's window", "1"),
-    Key("settings.report.how", word("inline", "on_probe", "off"),
-        "Settings only: reports are read as they come", "off"),
+    Key(
+        "settings.report.how",
+        word("inline", "on_probe", "off"),
+        "Settings only: reports are read as they come",
+        "off",
+    ),
     Key("settings.report.fields", listed(text), "policy: utilization, x0, x1, each where it comes", "none"),
     Key("settings.classes[].name", text, "core.requests, policy", "needed"),
-    Key("settings.classes[].idempotency", word("safe", "keyed", "unsafe"), "policy, core.keys: rule 2",
-        "safe"),
+    Key(
+        "settings.classes[].idempotency", word("safe", "keyed", "unsafe"), "policy, core.keys: rule 2", "safe"
+    ),
     Key("settings.classes[].group", word("all", "zone", "cell"), "policy: rule 2; core.requests", "all"),
     Key("settings.classes[].dedup_window_ns", NS, "policy: rule 2; core.keys", "0: never sent again"),
     Key("settings.classes[].aim_ns", NS, "policy: what is late", "0"),
@@ -130,8 +147,12 @@
     Key("settings.classes[].late_value", SHARE, "Settings only", "0"),
     Key("settings.classes[].stream", flag, "Settings only: the program's clients have no streams", "false"),
     Key("settings.limits.may_cancel", flag, "policy", "false"),
-    Key("settings.limits.probing", flag, "core.attempts: a quiet connection is asked before it is given up",
-        "false"),
+    Key(
+        "settings.limits.probing",
+        flag,
+        "core.attempts: a quiet connection is asked before it is given up",
+        "false",
+    ),
     Key("settings.limits.peers", flag, "Settings only: the module sends no messages", "false"),
     Key("settings.limits.second_copies", flag, "policy, operator.check", "false"),
     Key("settings.limits.retry_after", flag, "policy, operator.check", "false"),
@@ -144,8 +165,12 @@
     Key("settings.limits.cpu_us_per_s", number(0), "", "", "the platform holds it; turns are bounded"),
     Key("settings.limits.cpu_us_per_request", number(0), "", "", "as above; 0 at every deployment so far"),
     Key("settings.contract.answer_slack_ns", NS, "Settings only: answers are due at the deadline", "0"),
-    Key("settings.contract.drain_grace_ns", NS,
-        "Settings only: a draining server gets nothing from the event on", "0"),
+    Key(
+        "settings.contract.drain_grace_ns",
+        NS,
+        "Settings only: a draining server gets nothing from the event on",
+        "0",
+    ),
     Key("settings.contract.cold_from", SHARE, "policy: rule 4", "1: never cold"),
     Key("settings.contract.cold_ns", NS, "policy: rule 4", "0: never cold"),
     Key("settings.contract.fall_multiple", number(0), "policy: rule 4", "1"),
@@ -156,19 +181,39 @@
     Key("settings.family_info.max_age_ns", listed(NS), "policy", "copies are good until purged"),
     Key("settings.family_info.usable_after_ns", listed(NS), "Settings only: no old copy is asked for", "0"),
     Key("settings.family_info.old_copy_worth", listed(SHARE), "Settings only, as above", "1"),
-    Key("settings.family_info.hub_of", listed(COUNT), "Settings only: parents go by their answer times",
-        "none"),
-    Key("settings.family_info.instances_by_zone", listed(COUNT),
-        "policy: a router's share of caches and links", "all instances are of this zone"),
-    Key("settings.family_info.zone_link_kb_per_s", listed(number(0)), "policy: bound of fills",
-        "0: not told, reports of x1 bound them"),
-    Key("settings.family_info.pace_kb_per_s", number(0), "policy: sending times of told sizes",
-        "0: sizes are of no use, times are measured"),
+    Key(
+        "settings.family_info.hub_of",
+        listed(COUNT),
+        "Settings only: parents go by their answer times",
+        "none",
+    ),
+    Key(
+        "settings.family_info.instances_by_zone",
+        listed(COUNT),
+        "policy: a router's share of caches and links",
+        "all instances are of this zone",
+    ),
+    Key(
+        "settings.family_info.zone_link_kb_per_s",
+        listed(number(0)),
+        "policy: bound of fills",
+        "0: not told, reports of x1 bound them",
+    ),
+    Key(
+        "settings.family_info.pace_kb_per_s",
+        number(0),
+        "policy: sending times of told sizes",
+        "0: sizes are of no use, times are measured",
+    ),
     Key("settings.family_info.may_pass_by", flag, "policy", "false"),
     Key("settings.family_info.sideways", word("off", "location", "any"), "policy", "off"),
     Key("settings.family_info.merges_fills", flag, "policy", "false"),
-    Key("settings.family_info.notes_given", word("all", "hit", "off"),
-        "Settings only: notes are read as they come", "off"),
+    Key(
+        "settings.family_info.notes_given",
+        word("all", "hit", "off"),
+        "Settings only: notes are read as they come",
+        "off",
+    ),
     Key("settings.family_info.master_kind", KIND, "simhost.Kinds", "-1: no server is an origin"),
     Key("settings.family_info.shield_kind", KIND, "simhost.Kinds", "-1: no server is a parent"),
     Key("settings.family_info.parent_cold_from", SHARE, "policy: rule 4", "1: never cold"),
@@ -177,8 +222,13 @@
     Key("settings.family_info.purge_grace_ns", NS, "Settings only: a purge binds from its event on", "0"),
     Key("settings.family_info.purge_takes_ns", NS, "policy: rule 5", "0"),
     Key("settings.family_info.price_of_link", number(0), "", "", JUDGE),
-    Key("settings.family_info.root_fall_multiple", number(0), "", "",
-        "0 at every deployment so far; sources' waits bound what the origin is asked"),
+    Key(
+        "settings.family_info.root_fall_multiple",
+        number(0),
+        "",
+        "",
+        "0 at every deployment so far; sources' waits bound what the origin is asked",
+    ),
     Key("settings.family_info.origin_bears_ns", NS, "", "", "as above"),
     Key("settings.family_info.report_x0", anything, "", "", "words for people: what x0 means"),
     Key("settings.family_info.report_x1", anything, "", "", "words for people: what x1 means"),
--- a/kelpcroft/log.py
+++ b/kelpcroft/log.py
@@ -17,7 +17,7 @@
 from kelpcroft.messages import Log
 
 WINDOW_NS = 10 * 10**9
-EACH_MOST = 40               # lines of one event in a window
+EACH_MOST = 40  # lines of one event in a window
 LEVELS = {"info": logging.INFO, "warning": logging.WARNING}
 
 
@@ -54,8 +54,13 @@
         if self.plain:
             more = f" ({fields['suppressed']} left out before)" if "suppressed" in fields else ""
             return f"{when} {record.levelname} {event}: {record.getMessage()}{more}"
-        head = {"time": when, "level": record.levelname.lower(), "router": self.router, "event": event,
-                "text": record.getMessage()}
+        head = {
+            "time": when,
+            "level": record.levelname.lower(),
+            "router": self.router,
+            "event": event,
+            "text": record.getMessage(),
+        }
         return orjson.dumps({**head, **fields, **head}, default=str, option=orjson.OPT_NON_STR_KEYS).decode()
 
 
@@ -76,13 +81,17 @@
     def write(self, now: int, log: Log) -> None:
         """One event.  Traced steps are asked for one by one, and all of them are wanted."""
         if log.event.startswith("trace."):
-            self.stream.write(orjson.dumps(
-                {"t": now, "router": self.router, "event": log.event[6:], **log.fields}, default=str
-            ).decode() + "\n")
+            self.stream.write(
+                orjson.dumps(
+                    {"t": now, "router": self.router, "event": log.event[6:], **log.fields}, default=str
+                ).decode()
+                + "\n"
+            )
             return
         left_out = self.limiter.admits(now, log.event)
         if left_out < 0:
             return
         fields = {**log.fields, "suppressed": left_out} if left_out else log.fields
-        self.logger.log(LEVELS[log.level], "%s", log.text,
-                        extra={"event": log.event, "now": now, "fields": fields})
+        self.logger.log(
+            LEVELS[log.level], "%s", log.text, extra={"event": log.event, "now": now, "fields": fields}
+        )
--- a/kelpcroft/messages.py
+++ b/kelpcroft/messages.py
@@ -38,18 +38,18 @@
     cls: str
     trace: str
     patience_ns: int
-    object: str              # passed on as it came
-    part: str                # passed on as it came
+    object: str  # passed on as it came
+    part: str  # passed on as it came
     object_number: int
     part_number: int
     group: int
     retry: bool
-    tag: str                 # of the copy that the client holds; "" = none
+    tag: str  # of the copy that the client holds; "" = none
     body: Body
-    waited_ns: int = 0       # of the client's patience, gone before this was read
-    nonce: str = ""          # the idempotency key, passed on as it came; "" = none
-    size_kb: float = 0.0     # of the part, as the settings count; 0 = not told
-    fault: str = ""          # why it cannot be used, though it could be read
+    waited_ns: int = 0  # of the client's patience, gone before this was read
+    nonce: str = ""  # the idempotency key, passed on as it came; "" = none
+    size_kb: float = 0.0  # of the part, as the settings count; 0 = not told
+    fault: str = ""  # why it cannot be used, though it could be read
 
 
 @message
@@ -119,9 +119,9 @@
     note: Note
     waited_ns: int
     report: dict[str, float]
-    same: bool               # the client's own copy is the one; no bytes
+    same: bool  # the client's own copy is the one; no bytes
     body: Body
-    named: str = ""          # of KEEP: the tag of the copy that is the one
+    named: str = ""  # of KEEP: the tag of the copy that is the one
 
 
 @message
@@ -133,7 +133,7 @@
     zone: str
     kind: str
     cell: int
-    state: str               # as in zincgrade.interface.Server
+    state: str  # as in zincgrade.interface.Server
     weight: float
     started_ns: int
 
@@ -144,7 +144,7 @@
 
     whole: bool
     endpoints: tuple[Endpoint, ...]
-    number: int = 0          # of the event; 0 = not told
+    number: int = 0  # of the event; 0 = not told
 
 
 @message
@@ -162,11 +162,11 @@
 
     last: int
     events: tuple[Members | Purge, ...]
-    faults: tuple[str, ...] = ()   # events that could not be used, each with its number and field
-    more: bool = False             # the same answer goes on: ``last`` is the highest number so far
-    read: int = 0                  # bytes of the whole answer
-    mark: str = ""                 # of the last event; of a control replica only, as is the next
-    as_of_ms: int = 0              # Unix time at which that replica knew all that there was; 0 = not told
+    faults: tuple[str, ...] = ()  # events that could not be used, each with its number and field
+    more: bool = False  # the same answer goes on: ``last`` is the highest number so far
+    read: int = 0  # bytes of the whole answer
+    mark: str = ""  # of the last event; of a control replica only, as is the next
+    as_of_ms: int = 0  # Unix time at which that replica knew all that there was; 0 = not told
 
 
 @message
@@ -175,7 +175,7 @@
 
     why: str
     retry_after_ns: int = 0  # the service asks to be left alone for so long
-    read: int = 0            # bytes of an answer that came before
+    read: int = 0  # bytes of an answer that came before
 
 
 @message
@@ -191,10 +191,10 @@
 class Verb(Enum):
     """A call on the control address."""
 
-    READY = "ready"          # does this process take clients?
-    STATE = "state"          # what is it, and what became of its requests?
-    OUT = "out-of-service"   # send clients away
-    IN = "in-service"        # take them again
+    READY = "ready"  # does this process take clients?
+    STATE = "state"  # what is it, and what became of its requests?
+    OUT = "out-of-service"  # send clients away
+    IN = "in-service"  # take them again
 
 
 @message
@@ -205,7 +205,7 @@
     in_service: bool | None
     since_ns: int = 0
     why: str = ""
-    ended_ns: int = 0        # when that process ended, if it has said so
+    ended_ns: int = 0  # when that process ended, if it has said so
 
 
 @message
@@ -234,18 +234,18 @@
 class Timer(Enum):
     """What a wake-up is for."""
 
-    MODULE = "module"        # a timer of the decision module
-    ATTEMPT = "attempt"      # an attempt's time-out
-    DIAL = "dial"            # a connection must stand by now
-    QUIET = "quiet"          # has anything come on a connection?
-    PROBE = "probe"          # a probe's time-out
-    FEED = "feed"            # poll the feed again
-    COPY = "copy"            # a second copy of a request is due
-    AGAIN = "again"          # a request's wait between two attempts is over
-    HOUSE = "house"          # idle connections, counters
-    PART = "part"            # is this process alone by now?
-    LAME = "lame"            # steps of the planned end
-    RETUNE = "retune"        # the passage to settings read again is over
+    MODULE = "module"  # a timer of the decision module
+    ATTEMPT = "attempt"  # an attempt's time-out
+    DIAL = "dial"  # a connection must stand by now
+    QUIET = "quiet"  # has anything come on a connection?
+    PROBE = "probe"  # a probe's time-out
+    FEED = "feed"  # poll the feed again
+    COPY = "copy"  # a second copy of a request is due
+    AGAIN = "again"  # a request's wait between two attempts is over
+    HOUSE = "house"  # idle connections, counters
+    PART = "part"  # is this process alone by now?
+    LAME = "lame"  # steps of the planned end
+    RETUNE = "retune"  # the passage to settings read again is over
 
 
 Key = tuple[Timer, int, int]
@@ -279,11 +279,32 @@
     file: File | None
     why: str = ""
     faults: int = 0
-    digest: str = ""         # of its bytes
-
-
-Input = Union[Call, CallOff, AskHealth, ClientCame, ClientLost, LinkUp, LinkLost, LinkHalf, Answer, News,
-              FeedLost, Listening, Due, Terminate, Reload, Rules, Control, Handover, Ended, Identity, Stalled]
+    digest: str = ""  # of its bytes
+
+
+Input = Union[
+    Call,
+    CallOff,
+    AskHealth,
+    ClientCame,
+    ClientLost,
+    LinkUp,
+    LinkLost,
+    LinkHalf,
+    Answer,
+    News,
+    FeedLost,
+    Listening,
+    Due,
+    Terminate,
+    Reload,
+    Rules,
+    Control,
+    Handover,
+    Ended,
+    Identity,
+    Stalled,
+]
 
 
 # Effects --------------------------------------------------------------------------------------------------
@@ -351,9 +372,9 @@
     object: str
     part: str
     limit_ms: int
-    source: str              # "" = no fill
+    source: str  # "" = no fill
     rank: int
-    age_limit_ms: int        # 0 = the fresh time of the class
+    age_limit_ms: int  # 0 = the fresh time of the class
     join: bool
     held_only: bool
     no_parent_copy: bool
@@ -391,7 +412,7 @@
     """Ask the feed for what comes after an event."""
 
     after: int
-    wait_ms: int = 1_000     # how long the feed may wait for news before it answers
+    wait_ms: int = 1_000  # how long the feed may wait for news before it answers
     late_ns: int = 400_000_000  # past that, its answer has begun by then, and goes on so soon
     mark: str | None = None  # of that event, for a control replica; None = the feed is no such
 
@@ -417,7 +438,7 @@
 
     event: str
     text: str
-    level: str               # "info" or "warning"
+    level: str  # "info" or "warning"
     fields: dict[str, object]
 
 
@@ -441,8 +462,8 @@
 
     in_service: bool
     since_ns: int
-    ended_ns: int = 0        # this process ends now
-    began_ns: int = 0        # with an end: when it was told to
+    ended_ns: int = 0  # this process ends now
+    began_ns: int = 0  # with an end: when it was told to
 
 
 @message
@@ -469,5 +490,26 @@
     """Flush what is written, then end with success."""
 
 
-Effect = Union[Serve, Decline, Break, TellHealth, HangUp, Dial, Pull, Kill, Check, Drop, Poll, Move, Wake,
-               Log, StopAccepting, Reply, Keep, Look, Expose, Release, Exit]
+Effect = Union[
+    Serve,
+    Decline,
+    Break,
+    TellHealth,
+    HangUp,
+    Dial,
+    Pull,
+    Kill,
+    Check,
+    Drop,
+    Poll,
+    Move,
+    Wake,
+    Log,
+    StopAccepting,
+    Reply,
+    Keep,
+    Look,
+    Expose,
+    Release,
+    Exit,
+]
--- a/kelpcroft/net/buffers.py
+++ b/kelpcroft/net/buffers.py
@@ -9,7 +9,7 @@
 from kelpcroft.messages import Body
 
 SIZE = 64 * 1024
-PIECES_MOST = 64             # of one gathering write; the system takes 1,024
+PIECES_MOST = 64  # of one gathering write; the system takes 1,024
 
 
 class BufferPool:
@@ -39,10 +39,10 @@
 
     def __init__(self, pool: BufferPool) -> None:
         self.pool = pool
-        self.pieces: list[Body] = []             # of this turn
+        self.pieces: list[Body] = []  # of this turn
         self.stored: deque[bytearray] = deque()  # pooled: the first from ``start``, the last up to ``end``
         self.start = self.end = 0
-        self.sent = 0                            # bytes that the system has taken, in all
+        self.sent = 0  # bytes that the system has taken, in all
 
     def add(self, pieces: list[Body] | tuple[Body, ...]) -> None:
         """More bytes to write."""
@@ -56,7 +56,7 @@
         """Write what the socket takes; False where the pool has no room for the rest.  May raise OSError."""
         while self.stored:
             last = len(self.stored) == 1
-            view = memoryview(self.stored[0])[self.start:self.end if last else SIZE]
+            view = memoryview(self.stored[0])[self.start : self.end if last else SIZE]
             try:
                 sent = sock.send(view)
             except BlockingIOError:
@@ -69,7 +69,7 @@
             self.start = 0
         pieces, at = self.pieces, 0
         while at < len(pieces):
-            batch = pieces[at:at + PIECES_MOST]
+            batch = pieces[at : at + PIECES_MOST]
             try:
                 sent = sock.sendmsg(batch)
             except BlockingIOError:
@@ -99,7 +99,7 @@
                     self.stored.append(buffer)
                     self.end = 0
                 take = min(len(view), SIZE - self.end)
-                self.stored[-1][self.end:self.end + take] = view[:take]
+                self.stored[-1][self.end : self.end + take] = view[:take]
                 self.end += take
                 view = view[take:]
         return True
--- a/kelpcroft/net/control.py
+++ b/kelpcroft/net/control.py
@@ -20,9 +20,9 @@
 
 from kelpcroft.messages import Verb
 
-HEAD_MOST = 4_096            # bytes of the request line and headers together
-BODY_MOST = 1_024            # bytes of a body, which is not used
-READ_SIZE = 4_096            # the one buffer of each connection
+HEAD_MOST = 4_096  # bytes of the request line and headers together
+BODY_MOST = 1_024  # bytes of a body, which is not used
+READ_SIZE = 4_096  # the one buffer of each connection
 CALLS: dict[bytes, tuple[bytes, Verb]] = {
     b"/control/ready": (b"GET", Verb.READY),
     b"/control/state": (b"GET", Verb.STATE),
@@ -35,14 +35,14 @@
     """One caller's connection: ``feed`` until it returns a verb or an answer; nothing more is read then."""
 
     def __init__(self, state: bool = False) -> None:
-        self.state = state                   # the operator's file asks for /control/state
+        self.state = state  # the operator's file asks for /control/state
         self.parser = httptools.HttpRequestParser(self)
-        self.head = self.body = 0            # bytes of each so far
+        self.head = self.body = 0  # bytes of each so far
         self.url = b""
         self.headed = self.complete = False
-        self.done = False                    # a verb or an answer has been given
-        self.head_only = False               # HEAD: the answer has no body
-        self.fault: HTTPStatus | None = None     # found by a callback, which can only raise
+        self.done = False  # a verb or an answer has been given
+        self.head_only = False  # HEAD: the answer has no body
+        self.fault: HTTPStatus | None = None  # found by a callback, which can only raise
 
     # Callbacks of httptools -----------------------------------------------------------------------------
 
@@ -81,8 +81,12 @@
             end = data.find(b"\r\n\r\n")
             within = len(data) if end < 0 else end + 4
             if self.head + within > HEAD_MOST:
-                return self.finish(answer(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                                          {"error": f"the head is over {HEAD_MOST} bytes"}))
+                return self.finish(
+                    answer(
+                        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                        {"error": f"the head is over {HEAD_MOST} bytes"},
+                    )
+                )
             self.head += within
         try:
             self.parser.feed_data(data)
@@ -110,14 +114,22 @@
         calls = {p: call for p, call in CALLS.items() if self.state or call[1] is not Verb.STATE}
         known = calls.get(path.rstrip(b"/") if len(path) > 1 else path)
         if known is None:
-            return answer(HTTPStatus.NOT_FOUND, {"error": "no such call", "calls": [
-                f"{m.decode()} {p.decode()}" for p, (m, _) in calls.items()]})
+            return answer(
+                HTTPStatus.NOT_FOUND,
+                {
+                    "error": "no such call",
+                    "calls": [f"{m.decode()} {p.decode()}" for p, (m, _) in calls.items()],
+                },
+            )
         wanted, verb = known
         if method != wanted and not (method == b"HEAD" and wanted == b"GET"):
             why = {"error": f"{path.decode()} takes {wanted.decode()}"}
-            return answer(HTTPStatus.METHOD_NOT_ALLOWED, why,
-                          (b"Allow", wanted + (b", HEAD" if wanted == b"GET" else b"")),
-                          head_only=method == b"HEAD")
+            return answer(
+                HTTPStatus.METHOD_NOT_ALLOWED,
+                why,
+                (b"Allow", wanted + (b", HEAD" if wanted == b"GET" else b"")),
+                head_only=method == b"HEAD",
+            )
         self.head_only = method == b"HEAD"
         return verb
 
@@ -139,11 +151,17 @@
     return answer(HTTPStatus.OK if ok else HTTPStatus.SERVICE_UNAVAILABLE, fields, head_only=head_only)
 
 
-def answer(status: HTTPStatus, fields: Mapping[str, object], *headers: tuple[bytes, bytes],
-           head_only: bool = False) -> bytes:
+def answer(
+    status: HTTPStatus, fields: Mapping[str, object], *headers: tuple[bytes, bytes], head_only: bool = False
+) -> bytes:
     """A whole answer that closes the connection, with a JSON body."""
     body = orjson.dumps(fields) + b"\n"
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}".encode(), b"Content-Type: application/json",
-             b"Content-Length: %d" % len(body), b"Connection: close", b"Cache-Control: no-store",
-             *(name + b": " + value for name, value in headers)]
+    lines = [
+        f"HTTP/1.1 {status.value} {status.phrase}".encode(),
+        b"Content-Type: application/json",
+        b"Content-Length: %d" % len(body),
+        b"Connection: close",
+        b"Cache-Control: no-store",
+        *(name + b": " + value for name, value in headers),
+    ]
     return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head_only else body)
--- a/kelpcroft/net/feed.py
+++ b/kelpcroft/net/feed.py
@@ -20,9 +20,9 @@
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
 RETRY_MOST_S = 3_600
-WHOLE_MOST = 256 << 10       # bytes of an answer that is parsed as one: some 3,000 purges
-SNAPSHOT_MOST = 4 << 20      # the same of a control replica, whose answers are bounded
-ANSWER_MOST = 16 << 20       # bytes of any answer; what came until then is kept, the rest is asked for anew
+WHOLE_MOST = 256 << 10  # bytes of an answer that is parsed as one: some 3,000 purges
+SNAPSHOT_MOST = 4 << 20  # the same of a control replica, whose answers are bounded
+ANSWER_MOST = 16 << 20  # bytes of any answer; what came until then is kept, the rest is asked for anew
 OK = 200
 STATES = {"active": "in_service", "leaving": "terminating", "left": "terminated"}
 
@@ -37,8 +37,10 @@
 def poll_request(address: tuple[str, int], after: int, wait_ms: int, mark: str | None = None) -> bytes:
     """One long poll for what comes after an event; ``mark``: of that event, for a control replica."""
     marked = f"&mark={mark}" if mark is not None else ""
-    return (f"GET /v1/events?SUB={after}&wait={wait_ms}{marked} HTTP/1.1\r\n"
-            f"Host: {address[0]}:{address[1]}\r\nAccept: application/json\r\n\r\n").encode()
+    return (
+        f"GET /v1/events?SUB={after}&wait={wait_ms}{marked} HTTP/1.1\r\n"
+        f"Host: {address[0]}:{address[1]}\r\nAccept: application/json\r\n\r\n"
+    ).encode()
 
 
 def endpoint_of(line: dict[str, Any]) -> Endpoint:
@@ -53,9 +55,15 @@
         raise FeedError(f"address: {line['address']!r} is not host:port")
     weight = line.get("weight")
     return Endpoint(
-        name=str(line["name"]), address=str(line["address"]), zone=str(line["zone"]), kind=str(line["type"]),
-        cell=int(line.get("group") or 0), state=STATES[state], weight=float(weight) if weight else 1.0,
-        started_ns=int(line.get("since_ms") or 0) * NS_PER_MS)
+        name=str(line["name"]),
+        address=str(line["address"]),
+        zone=str(line["zone"]),
+        kind=str(line["type"]),
+        cell=int(line.get("group") or 0),
+        state=STATES[state],
+        weight=float(weight) if weight else 1.0,
+        started_ns=int(line.get("since_ms") or 0) * NS_PER_MS,
+    )
 
 
 def event_of(raw: dict[str, Any]) -> Members | Purge | None:
@@ -70,8 +78,11 @@
     if "purge" in raw:
         purge = raw["purge"]
         key = purge.get("key")
-        return Purge(int(key, 16) if key is not None else None, int(purge.get("group") or 0),
-                     int(purge["at"]) * NS_PER_MS)
+        return Purge(
+            int(key, 16) if key is not None else None,
+            int(purge.get("group") or 0),
+            int(purge["at"]) * NS_PER_MS,
+        )
     return None
 
 
@@ -100,8 +111,13 @@
         elif event is not None:
             events.append(event)
     mark, as_of = raw.get("mark"), raw.get("as_of")
-    return News(last, tuple(events), tuple(faults), mark=mark if isinstance(mark, str) else "",
-                as_of_ms=as_of if type(as_of) is int else 0)
+    return News(
+        last,
+        tuple(events),
+        tuple(faults),
+        mark=mark if isinstance(mark, str) else "",
+        as_of_ms=as_of if type(as_of) is int else 0,
+    )
 
 
 def piece_of(found: list[bytes | None]) -> News:
@@ -135,10 +151,10 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.splitter: EventSplitter | None = None  # of an answer that is too long to be parsed as one
-        self.read = 0                # bytes of this answer's body
+        self.read = 0  # bytes of this answer's body
         self.done: list[T] = []
-        self.keeps = True            # the connection stays open after this answer
-        self.retry_after_ns = 0      # of an answer that is none
+        self.keeps = True  # the connection stays open after this answer
+        self.retry_after_ns = 0  # of an answer that is none
 
     def whole(self, raw: Any) -> T:
         """An answer, or what is left of one whose events came in pieces.  May raise FeedError."""
--- a/kelpcroft/net/front.py
+++ b/kelpcroft/net/front.py
@@ -12,15 +12,15 @@
 from kelpcroft.messages import AskHealth, Body, Call, CallOff
 
 NS_PER_MS = 1_000_000
-BODY_MOST = 48_000           # bytes of a request's body
-MESSAGE_MOST = 65_536        # bytes of a message; what nested lists make of them is some sixty times as much
-FIELDS_MOST = 64             # fields of a request
-TEXT_MOST = 1_024            # bytes of a field
-OPEN_MOST = 32               # requests that a client may have open on one connection
+BODY_MOST = 48_000  # bytes of a request's body
+MESSAGE_MOST = 65_536  # bytes of a message; what nested lists make of them is some sixty times as much
+FIELDS_MOST = 64  # fields of a request
+TEXT_MOST = 1_024  # bytes of a field
+OPEN_MOST = 32  # requests that a client may have open on one connection
 PART_MOST, GROUP_MOST = 9_999, 255
 PATIENCE_MOST_MS = 60_000
-CANCELS_MOST = 1_024         # calls in one cancel
-NONCE_MOST = 128             # characters of an idempotency key
+CANCELS_MOST = 1_024  # calls in one cancel
+NONCE_MOST = 128  # characters of an idempotency key
 NONCE = re.compile(rf"[!-+\--<>-~]{{1,{NONCE_MOST}}}")  # visible ASCII but for what parts servers' fields
 SIZE_MOST_KB = 1e9
 HEX = frozenset("0123456789abcdef")
@@ -47,11 +47,18 @@
 
     def __init__(self, client: int, read_size: int) -> None:
         self.client, self.waited_ns = client, 0
-        self.fed = self.whole = 0            # bytes taken in, and those of whole messages
+        self.fed = self.whole = 0  # bytes taken in, and those of whole messages
         self.unpacker = msgpack.Unpacker(
-            raw=False, read_size=4_096, max_buffer_size=MESSAGE_MOST + read_size,
-            max_str_len=TEXT_MOST, max_bin_len=BODY_MOST, max_array_len=CANCELS_MOST,
-            max_map_len=FIELDS_MOST, max_ext_len=0, object_pairs_hook=Fields)
+            raw=False,
+            read_size=4_096,
+            max_buffer_size=MESSAGE_MOST + read_size,
+            max_str_len=TEXT_MOST,
+            max_bin_len=BODY_MOST,
+            max_array_len=CANCELS_MOST,
+            max_map_len=FIELDS_MOST,
+            max_ext_len=0,
+            object_pairs_hook=Fields,
+        )
 
     def feed(self, data: memoryview, waited_ns: int = 0) -> list[Call | CallOff | AskHealth]:
         """The messages that these bytes complete.  Patience counts from the client's send: what they may have
@@ -59,7 +66,7 @@
         self.waited_ns = waited_ns
         self.fed += len(data)
         found: list[Call | CallOff | AskHealth] = []
-        unread: set[int] = set()             # calls that came with these bytes, so none is answered yet
+        unread: set[int] = set()  # calls that came with these bytes, so none is answered yet
         try:
             self.unpacker.feed(data)
             for raw in self.unpacker:
@@ -91,8 +98,14 @@
                 return [CallOff(self.client, x) for x in raw[2]]
         elif isinstance(raw, list) and len(raw) == 4 and raw[0] == 0:
             _, call, method, params = raw
-            if (type(call) is int and 0 < call < 1 << 32 and isinstance(method, str)
-                    and isinstance(params, list) and params and isinstance(params[0], dict)):
+            if (
+                type(call) is int
+                and 0 < call < 1 << 32
+                and isinstance(method, str)
+                and isinstance(params, list)
+                and params
+                and isinstance(params[0], dict)
+            ):
                 if method == "health":
                     return [AskHealth(self.client, call)]
                 if len(params) == 2 and isinstance(params[1], (bytes, str)):
@@ -109,12 +122,24 @@
         number = self.count(fields, "block", "0", PART_MOST)
         nonce, fault = self.nonce(fields)
         return Call(
-            client=self.client, call=call, cls=cls, trace=trace,
+            client=self.client,
+            call=call,
+            cls=cls,
+            trace=trace,
             patience_ns=patience_ms * NS_PER_MS - self.waited_ns,
-            object=item, part=str(number), object_number=int(item, 16), part_number=number,
-            group=self.count(fields, "family", "0", GROUP_MOST), retry=fields.get("redo") == "1", tag=tag,
-            body=body.encode() if isinstance(body, str) else body, waited_ns=self.waited_ns,
-            nonce=nonce, size_kb=self.size(fields), fault=fault)
+            object=item,
+            part=str(number),
+            object_number=int(item, 16),
+            part_number=number,
+            group=self.count(fields, "family", "0", GROUP_MOST),
+            retry=fields.get("redo") == "1",
+            tag=tag,
+            body=body.encode() if isinstance(body, str) else body,
+            waited_ns=self.waited_ns,
+            nonce=nonce,
+            size_kb=self.size(fields),
+            fault=fault,
+        )
 
     @staticmethod
     def nonce(fields: dict[str, Any]) -> tuple[str, str]:
@@ -161,9 +186,18 @@
 def served(call: int, body: Body, same: bool) -> tuple[Body, ...]:
     """A served answer, in pieces so that its bytes are not copied."""
     size = len(body)
-    head = b"\x94\x01" + msgpack.packb(call) + b"\xc0\x92" + (
-        b"\xc4" + size.to_bytes(1, "big") if size < 1 << 8 else
-        b"\xc5" + size.to_bytes(2, "big") if size < 1 << 16 else b"\xc6" + size.to_bytes(4, "big"))
+    head = (
+        b"\x94\x01"
+        + msgpack.packb(call)
+        + b"\xc0\x92"
+        + (
+            b"\xc4" + size.to_bytes(1, "big")
+            if size < 1 << 8
+            else b"\xc5" + size.to_bytes(2, "big")
+            if size < 1 << 16
+            else b"\xc6" + size.to_bytes(4, "big")
+        )
+    )
     return (head, body, SAME if same else EMPTY_MAP) if size else (head + (SAME if same else EMPTY_MAP),)
 
 
--- a/kelpcroft/net/listeners.py
+++ b/kelpcroft/net/listeners.py
@@ -6,7 +6,7 @@
 
 from kelpcroft.config import Address, ConfigError
 
-BACKLOG = 1024               # connections that the kernel queues before one is accepted
+BACKLOG = 1024  # connections that the kernel queues before one is accepted
 
 
 def bound(key: str, address: Address) -> socket.socket:
@@ -33,13 +33,19 @@
     try:
         sock = socket.socket(fileno=fd)
     except OSError as error:
-        raise ConfigError(f"ROUTER_FD: descriptor {fd}: {error.strerror or error}; "
-                          "a listening TCP socket would do") from error
+        raise ConfigError(
+            f"ROUTER_FD: descriptor {fd}: {error.strerror or error}; a listening TCP socket would do"
+        ) from error
     kind = sock.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
     family = sock.getsockopt(socket.SOL_SOCKET, socket.SO_DOMAIN)
     listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
-    why = ("is not of TCP" if kind != socket.SOCK_STREAM or family not in (socket.AF_INET, socket.AF_INET6)
-           else "does not listen" if not listens else "")
+    why = (
+        "is not of TCP"
+        if kind != socket.SOCK_STREAM or family not in (socket.AF_INET, socket.AF_INET6)
+        else "does not listen"
+        if not listens
+        else ""
+    )
     if why:
         sock.detach()
         raise ConfigError(f"ROUTER_FD: descriptor {fd} {why}; a listening TCP socket would do")
--- a/kelpcroft/net/loop.py
+++ b/kelpcroft/net/loop.py
@@ -34,87 +34,97 @@
 from zincgrade.interface import Settings
 
 SECOND = 1_000_000_000
-MAX_READS_PER_TURN = 2       # buffers read from one connection before the others have their turn
-RESTED_NS = 20_000_000       # a server's connection is looked at before a write after so long a rest
-MAX_ACCEPTS_PER_TURN = 64                 # connections accepted before the others have their turn
-SLOW_BYTES = 512 * 1024      # a client with so much unread sends nothing more until it has read
-RULES_NS = 3_000_000         # the operator's file is read for so long in one turn
-CLIENTS_NS = 20_000_000      # new requests are taken for so long in one turn
-PACE_NS = 25_000_000         # in a long turn, what is decided goes out and leavers are heard so often
-GONE_NS = 50_000_000         # what waited so long unread may be from a client that has left: read to the end
-WAITED_NS = 1_000_000        # from so much on, what a request waited here is taken off its patience
-UNTAKEN_MOST = 64            # messages of one client that are read and not taken, before it is read on
-SILENT_NS = 2 * SECOND       # a client has so long to say something, and for each message that it has begun
-IDLE_NS = 5 * SECOND         # one with nothing open goes after so long; usual ones go by themselves after 4 s
-SPARED_NS = SECOND // 10     # when clients are too many, one that was heard so lately does not go for another
-STALLED_NS = SECOND // 5     # the rest of a server's answer follows sooner, or does not come
-CLEAN_NS = SECOND // 10      # between looks at silent, idle, stalled and stuck connections
+MAX_READS_PER_TURN = 2  # buffers read from one connection before the others have their turn
+RESTED_NS = 20_000_000  # a server's connection is looked at before a write after so long a rest
+MAX_ACCEPTS_PER_TURN = 64  # connections accepted before the others have their turn
+SLOW_BYTES = 512 * 1024  # a client with so much unread sends nothing more until it has read
+RULES_NS = 3_000_000  # the operator's file is read for so long in one turn
+CLIENTS_NS = 20_000_000  # new requests are taken for so long in one turn
+PACE_NS = 25_000_000  # in a long turn, what is decided goes out and leavers are heard so often
+GONE_NS = 50_000_000  # what waited so long unread may be from a client that has left: read to the end
+WAITED_NS = 1_000_000  # from so much on, what a request waited here is taken off its patience
+UNTAKEN_MOST = 64  # messages of one client that are read and not taken, before it is read on
+SILENT_NS = 2 * SECOND  # a client has so long to say something, and for each message that it has begun
+IDLE_NS = 5 * SECOND  # one with nothing open goes after so long; usual ones go by themselves after 4 s
+SPARED_NS = SECOND // 10  # when clients are too many, one that was heard so lately does not go for another
+STALLED_NS = SECOND // 5  # the rest of a server's answer follows sooner, or does not come
+CLEAN_NS = SECOND // 10  # between looks at silent, idle, stalled and stuck connections
 MAX_MALFORMED_LOGS_PER_SWEEP = 2  # lines about bad clients between such looks: they come in hundreds
-WRITE_STALL_TIMEOUT_NS = 10 * SECOND       # a connection that takes nothing for so long is closed
+WRITE_STALL_TIMEOUT_NS = 10 * SECOND  # a connection that takes nothing for so long is closed
 EMPTY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # nothing is left to make a socket of
 DOWN = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT)
-POOL_SHARE = 3               # pooled buffers may take one part in so many of the memory
-STALL_NS = SECOND // 4       # a look that comes so late: the machine or the process stood still
-BLIND_NS = SECOND // 25      # after that the feed has so long to tell what is new, before all else
-BLIND_EVERY_NS = SECOND      # between two such waits
+POOL_SHARE = 3  # pooled buffers may take one part in so many of the memory
+STALL_NS = SECOND // 4  # a look that comes so late: the machine or the process stood still
+BLIND_NS = SECOND // 25  # after that the feed has so long to tell what is new, before all else
+BLIND_EVERY_NS = SECOND  # between two such waits
 LINGERING_CLOSE_TIMEOUT_NS = SECOND  # a client whose connection we have ended ends it by then ...
-LINGERING_CLOSE_MAX_BYTES = 1 << 20         # ... and sends so much at the most that is read and thrown away
+LINGERING_CLOSE_MAX_BYTES = 1 << 20  # ... and sends so much at the most that is read and thrown away
 SHUTDOWN_DRAIN_TIMEOUT_NS = SECOND  # at the end, requests that wait unread put it off so long at most
-LINGER_NS = SECOND // 5      # at the end, for clients to read what was written
-CALLER_NS = 5 * SECOND       # a caller has so long for its call and to read the answer
-NEW_NS = SECOND              # in a drain, a client that has said nothing is let go after so long
+LINGER_NS = SECOND // 5  # at the end, for clients to read what was written
+CALLER_NS = 5 * SECOND  # a caller has so long for its call and to read the answer
+NEW_NS = SECOND  # in a drain, a client that has said nothing is let go after so long
 
 
 class Loop:
     """Owns every socket.  Inputs go to the reducer, its effects are carried out here."""
 
-    def __init__(self, config: Config, clock: Clock, reload: Callable[[], m.Reload] | None = None,
-                 rules: Callable[[Settings], Iterator[m.Rules | None]] | None = None,
-                 events: EventLog | None = None
-                 ) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        reload: Callable[[], m.Reload] | None = None,
+        rules: Callable[[Settings], Iterator[m.Rules | None]] | None = None,
+        events: EventLog | None = None,
+    ) -> None:
         self.config, self.clock = config, clock
         self.reload = reload or (lambda: m.Reload("", None, "there is no file"))
-        self.rules = rules                   # reads the operator's file in steps
+        self.rules = rules  # reads the operator's file in steps
         self.reading: Iterator[m.Rules | None] | None = None
         self.events = events or EventLog(config.name)
         self.feed_at = config.feed
         self.reducer = Reducer(config)
         self.selector = selectors.DefaultSelector()
         self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_SHARE // SIZE)  # of unwritten bytes
-        self.scratch = bytearray(SIZE)       # what is read, one connection at a time
+        self.scratch = bytearray(SIZE)  # what is read, one connection at a time
         self.clients: dict[int, ClientConnection] = {}
         self.parting: dict[int, ClientConnection] = {}  # being ended, longest first
         self.servers: dict[int, ServerConnection] = {}
         self.feed: FeedConnection | None = None
         self.shares = shared_out(config.sockets)
         self.listener: socket.socket | None = None
-        self.heeded: set[socket.socket] = set()          # listening sockets that are watched
-        self.mgmt: socket.socket | None = None           # the control address
+        self.heeded: set[socket.socket] = set()  # listening sockets that are watched
+        self.mgmt: socket.socket | None = None  # the control address
         self.callers: dict[int, ControlConnection] = {}
-        self.releasing = False                           # clients go once nothing is owed them
+        self.releasing = False  # clients go once nothing is owed them
         self.made = 0
         self.heap: list[tuple[int, int, m.Key]] = []
         self.dirty: dict[Connection, None] = {}
         self.lost: list[tuple[Connection, str]] = []
-        self.hung: list[tuple[ClientConnection, str]] = []         # to be let go, by the reducer's word
+        self.hung: list[tuple[ClientConnection, str]] = []  # to be let go, by the reducer's word
         self.undialled: list[m.LinkLost | m.FeedLost] = []  # connections that could not even be begun
         self.stopping = False
-        self.untaken: dict[ClientConnection, None] = {}            # clients with something read and not told
-        self.paced_ns = 0        # when leavers were last heard
-        self.unheard_ns = 0      # the end is put off until then at most, for requests that wait unread
+        self.untaken: dict[ClientConnection, None] = {}  # clients with something read and not told
+        self.paced_ns = 0  # when leavers were last heard
+        self.unheard_ns = 0  # the end is put off until then at most, for requests that wait unread
         self.cleaned_ns = self.complaints = 0
         self.selected_ns = clock.now()
-        self.stalled_ns = 0      # when it was last seen to have stood still
-        self.blind_ns = 0        # until then nothing but the feed is read: the list is as old as a stall
-        self.waited_ns = 0       # the longest that what is being read from a client may have waited
+        self.stalled_ns = 0  # when it was last seen to have stood still
+        self.blind_ns = 0  # until then nothing but the feed is read: the list is as old as a stall
+        self.waited_ns = 0  # the longest that what is being read from a client may have waited
         self.exposed = self.identified = False  # calls for the state are taken; what it is has been told
-        self.signals: int | None = None      # the reading end of the pipe that signals write to
+        self.signals: int | None = None  # the reading end of the pipe that signals write to
 
     # Start and end ----------------------------------------------------------------------------------------
 
-    def run(self, signals: int | None = None, first: m.Rules | None = None,
-            listener: socket.socket | None = None, mgmt: socket.socket | None = None,
-            handed: m.Handover | None = None, gentle_ns: int = 0) -> None:
+    def run(
+        self,
+        signals: int | None = None,
+        first: m.Rules | None = None,
+        listener: socket.socket | None = None,
+        mgmt: socket.socket | None = None,
+        handed: m.Handover | None = None,
+        gentle_ns: int = 0,
+    ) -> None:
         """Serve until the reducer asks for the end, by the rules that are first given, on a listening socket
         that is handed over or else bound here to the address of the configuration; calls on the control
         address come on ``mgmt``, bound here where the configuration names one and none is given.  The first
@@ -124,9 +134,15 @@
             self.turn()
         self.linger()
 
-    def begin(self, signals: int | None = None, first: m.Rules | None = None,
-              listener: socket.socket | None = None, mgmt: socket.socket | None = None,
-              handed: m.Handover | None = None, gentle_ns: int = 0) -> None:
+    def begin(
+        self,
+        signals: int | None = None,
+        first: m.Rules | None = None,
+        listener: socket.socket | None = None,
+        mgmt: socket.socket | None = None,
+        handed: m.Handover | None = None,
+        gentle_ns: int = 0,
+    ) -> None:
         """All of ``run`` before its first turn."""
         self.signals = signals
         if signals is not None:
@@ -243,7 +259,7 @@
         while self.heap and self.heap[0][0] <= now and not self.stopping:
             due = heapq.heappop(self.heap)[2]
             if due[0] is m.Timer.LAME and due[1] == LAST and self.unheard(now):
-                self.made += 1               # no two entries of the heap may be compared by their keys
+                self.made += 1  # no two entries of the heap may be compared by their keys
                 heapq.heappush(self.heap, (now + SHUTDOWN_DRAIN_TIMEOUT_NS // 100, self.made, due))
             else:
                 self.tell(m.Due(due))
@@ -271,7 +287,7 @@
         if now - self.stalled_ns < BLIND_EVERY_NS or self.feed is None or not self.feed.waits:
             return
         self.stalled_ns, self.blind_ns = now, now + BLIND_NS
-        self.close(self.feed)    # the call that is out on it waits for news, and its answer is from before
+        self.close(self.feed)  # the call that is out on it waits for news, and its answer is from before
         self.tell(m.Stalled())
 
     def on_signals(self, numbers: bytes) -> None:
@@ -305,9 +321,13 @@
         at once, requests wait for ``take_requests``.  Closes used to wait behind answers, time-outs and
         others' requests, and a router short of CPU went on for clients that were long gone."""
         for at, (peer, events) in enumerate(ready):
-            if (isinstance(peer, ClientConnection) and events & selectors.EVENT_READ
-                    and peer.sock.fileno() >= 0 and peer.number in self.reducer.state.calls
-                    and len(peer.untaken) < UNTAKEN_MOST):
+            if (
+                isinstance(peer, ClientConnection)
+                and events & selectors.EVENT_READ
+                and peer.sock.fileno() >= 0
+                and peer.number in self.reducer.state.calls
+                and len(peer.untaken) < UNTAKEN_MOST
+            ):
                 self.waited_ns = self.clock.now() - (peer.ready_ns or before)
                 peer.ready_ns = 0
                 self.read(peer)
@@ -333,7 +353,7 @@
             if events and not peer.ready_ns:
                 peer.ready_ns = before
             if self.clock.now() > until:
-                for rest, waits in ready[max(0, at + 1 - len(left)):]:
+                for rest, waits in ready[max(0, at + 1 - len(left)) :]:
                     rest.ready_ns = rest.ready_ns or (before if waits else 0)
                 return
             if events:
@@ -350,8 +370,9 @@
             read_ns, message = client.untaken.popleft()
             waited = self.clock.now() - read_ns
             if waited > WAITED_NS and isinstance(message, m.Call):
-                message = replace(message, patience_ns=message.patience_ns - waited,
-                                  waited_ns=message.waited_ns + waited)
+                message = replace(
+                    message, patience_ns=message.patience_ns - waited, waited_ns=message.waited_ns + waited
+                )
             self.tell(message)
         client.untaken.clear()
         self.untaken.pop(client, None)
@@ -527,7 +548,8 @@
         """Read, unless it is a client that does not read itself; write, where something waits."""
         waits = peer.backlog.size()
         return (0 if isinstance(peer, ClientConnection) and waits > SLOW_BYTES else selectors.EVENT_READ) | (
-            selectors.EVENT_WRITE if waits else 0)
+            selectors.EVENT_WRITE if waits else 0
+        )
 
     def stop_accepting(self) -> None:
         """Close the listening socket.  Whoever waits on one of our own has connected: the close would reset
@@ -560,7 +582,7 @@
                 if error.errno in EMPTY:
                     self.heed(self.listener, False)
                     return False
-                continue             # the one that waited has gone: the next may be well
+                continue  # the one that waited has gone: the next may be well
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.made += 1
@@ -647,7 +669,7 @@
             try:
                 found = peer.codec.feed(data)
             except FeedError:
-                for news in peer.codec.done:     # whole events before the fault
+                for news in peer.codec.done:  # whole events before the fault
                     self.tell(news)
                 raise
             for news in found:
@@ -720,6 +742,7 @@
         self.exposed = on
         if on and not self.identified:
             from kelpcroft.store.identity import of_program
+
             self.identified = True
             instance = f"{os.getpid()}-{self.clock.now():x}"
             self.tell(m.Identity(of_program(Path(__file__).parent.parent), instance))
@@ -763,8 +786,12 @@
         try:
             handing.write(self.config.state_dir, self.config.name, self.clock.now(), e)
         except OSError as error:
-            self.log("handover.unwritten", f"state of service not left for the next process: {error}",
-                     {"why": str(error)}, "warning")
+            self.log(
+                "handover.unwritten",
+                f"state of service not left for the next process: {error}",
+                {"why": str(error)},
+                "warning",
+            )
 
     # Draining ---------------------------------------------------------------------------------------------
 
@@ -775,7 +802,7 @@
         if not self.releasing or client.leaving or client.ready_ns or client.codec.partial():
             return
         if not client.said and self.clock.now() - client.heard_ns < NEW_NS:
-            return               # new: its first request is on the way
+            return  # new: its first request is on the way
         if self.spare(client) and not self.unread(client):  # else it is read soon, then let go
             self.part(client)
 
@@ -792,8 +819,12 @@
         self.heed(self.listener, True)
         if why and self.complaints < MAX_MALFORMED_LOGS_PER_SWEEP:
             self.complaints += 1
-            self.log("client.lost", f"client {client.number}: {why}",
-                     {"client": client.number, "why": why}, "warning")
+            self.log(
+                "client.lost",
+                f"client {client.number}: {why}",
+                {"client": client.number, "why": why},
+                "warning",
+            )
         if len(self.parting) > self.shares.parting:
             self.close(next(iter(self.parting.values())))
         self.shut(client)
@@ -839,8 +870,12 @@
                 self.close(peer)
                 if why and self.complaints < MAX_MALFORMED_LOGS_PER_SWEEP:
                     self.complaints += 1
-                    self.log("client.lost", f"client {peer.number}: {why}",
-                             {"client": peer.number, "why": why}, "warning")
+                    self.log(
+                        "client.lost",
+                        f"client {peer.number}: {why}",
+                        {"client": peer.number, "why": why},
+                        "warning",
+                    )
                 self.tell(m.ClientLost(peer.number))
             elif peer.number in self.parting:
                 self.close(peer)
--- a/kelpcroft/net/shelf.py
+++ b/kelpcroft/net/shelf.py
@@ -14,22 +14,36 @@
 from zincgrade.interface import Note, Outcome
 
 NS_PER_MS = 1_000_000
-HEAD_MOST = 4_096            # bytes of an answer without its body
-HEAD_LINES = 8               # line ends in them
+HEAD_MOST = 4_096  # bytes of an answer without its body
+HEAD_LINES = 8  # line ends in them
 START = b"*4\r\n$"
 HEAD = re.compile(rb"\*4\r\n" + rb"\$(\d{1,6})\r\n([^\r\n]*)\r\n" * 3 + rb"\$(\d{1,6})\r\n")
-BODY_MOST = 262_144          # an object has 240,000 at most
+BODY_MOST = 262_144  # an object has 240,000 at most
 ENDS = {
-    "DONE": Outcome.OK, "KEEP": Outcome.OK, "LACK": Outcome.MISS, "WAIT": Outcome.FULL,
-    "BROKE": Outcome.ERROR, "PAST": Outcome.MOOT, "FIT": Outcome.OK, "UNFIT": Outcome.ERROR,
+    "DONE": Outcome.OK,
+    "KEEP": Outcome.OK,
+    "LACK": Outcome.MISS,
+    "WAIT": Outcome.FULL,
+    "BROKE": Outcome.ERROR,
+    "PAST": Outcome.MOOT,
+    "FIT": Outcome.OK,
+    "UNFIT": Outcome.ERROR,
 }
 NOTES = {
-    "mem": Note.HIT, "parent": Note.FILLED, "origin": Note.FILLED_FROM_ORIGIN, "shared": Note.JOINED,
-    "old": Note.STALE, "denied": Note.SOURCE_REFUSED, "unreached": Note.SOURCE_BROKE,
-    "absent": Note.SOURCE_LACKS, "crowded": Note.NO_FILL_PLACE, "behind": Note.ORIGIN_FAILED,
+    "mem": Note.HIT,
+    "parent": Note.FILLED,
+    "origin": Note.FILLED_FROM_ORIGIN,
+    "shared": Note.JOINED,
+    "old": Note.STALE,
+    "denied": Note.SOURCE_REFUSED,
+    "unreached": Note.SOURCE_BROKE,
+    "absent": Note.SOURCE_LACKS,
+    "crowded": Note.NO_FILL_PLACE,
+    "behind": Note.ORIGIN_FAILED,
+}
+WAYS = {
+    on: "+".join(w for w, x in zip("jhnr", on, strict=True) if x) for on in product((False, True), repeat=4)
 }
-WAYS = {on: "+".join(w for w, x in zip("jhnr", on, strict=True) if x)
-        for on in product((False, True), repeat=4)}
 
 
 class ShelfError(ValueError):
@@ -97,11 +111,11 @@
 
     def __init__(self, link: int) -> None:
         self.link = link
-        self.head = b""                     # of an answer, not all there yet
-        self.words = ("", "", "")           # id, word and fields of the answer whose body is being filled
+        self.head = b""  # of an answer, not all there yet
+        self.words = ("", "", "")  # id, word and fields of the answer whose body is being filled
         self.body: bytearray | None = None  # its line end included
         self.filled = 0
-        self.fault = ""                     # why nothing more can be read
+        self.fault = ""  # why nothing more can be read
 
     def feed(self, data: memoryview) -> list[Answer]:
         """The answers that these bytes complete.  Those ahead of bytes that are none are good; ``fault`` then
@@ -122,16 +136,16 @@
         while at < len(data):
             body = self.body
             if body is None:
-                at += self.begin(data[at:at + HEAD_MOST])
+                at += self.begin(data[at : at + HEAD_MOST])
                 continue
             take = min(len(data) - at, len(body) - self.filled)
-            body[self.filled:self.filled + take] = data[at:at + take]
+            body[self.filled : self.filled + take] = data[at : at + take]
             self.filled += take
             at += take
             if self.filled == len(body):
                 # What follows at once is looked at too: a body said to be four bytes longer than it is takes
                 # them from the next answer's head, and ends as a body should.
-                if not body.endswith(b"\r\n") or bytes(data[at:at + 1]) not in (b"", b"*"):
+                if not body.endswith(b"\r\n") or bytes(data[at : at + 1]) not in (b"", b"*"):
                     raise ShelfError("a body does not end where it should")
                 del body[-2:]
                 id, word, text = self.words
@@ -144,8 +158,11 @@
         self.head += bytes(data)
         match = HEAD.match(self.head)
         if match is None:
-            if len(self.head) >= HEAD_MOST or self.head.count(b"\r\n") >= HEAD_LINES or not (
-                    self.head.startswith(START) or START.startswith(self.head)):
+            if (
+                len(self.head) >= HEAD_MOST
+                or self.head.count(b"\r\n") >= HEAD_LINES
+                or not (self.head.startswith(START) or START.startswith(self.head))
+            ):
                 raise ShelfError(f"not an answer: {self.head[:60]!r}")
             return len(data)
         words, sizes = match.group(2, 4, 6), match.group(1, 3, 5)
--- a/kelpcroft/operator/boxes.py
+++ b/kelpcroft/operator/boxes.py
@@ -17,9 +17,9 @@
 
 OBJECTS: Range = (0, (1 << 64) - 1)
 BOTH: Range = (0, 1)
-CUTS_MOST = 100_000          # some tenths of a second of Python
-BOXES_MOST = 2_000           # of one class
-Box = tuple[Range, ...]      # retry, write, group, part, object
+CUTS_MOST = 100_000  # some tenths of a second of Python
+BOXES_MOST = 2_000  # of one class
+Box = tuple[Range, ...]  # retry, write, group, part, object
 WHOLE: Box = (BOTH, BOTH, GROUPS, PARTS, OBJECTS)
 
 
@@ -45,10 +45,10 @@
         if low <= here_low and here_high <= high:
             continue
         if here_low < low:
-            yield (*box[:axis], (here_low, low - 1), *box[axis + 1:])
+            yield (*box[:axis], (here_low, low - 1), *box[axis + 1 :])
         if here_high > high:
-            yield (*box[:axis], (high + 1, here_high), *box[axis + 1:])
-        box = (*box[:axis], (max(low, here_low), min(high, here_high)), *box[axis + 1:])
+            yield (*box[:axis], (high + 1, here_high), *box[axis + 1 :])
+        box = (*box[:axis], (max(low, here_low), min(high, here_high)), *box[axis + 1 :])
 
 
 def count(route: Route) -> int:
@@ -61,8 +61,15 @@
     """All that a route's match takes of a class."""
     m = route.match
     flag = {None: BOTH, False: (0, 0), True: (1, 1)}
-    return list(product((flag[m.retry],), (flag[m.write],), m.groups or (GROUPS,), m.parts or (PARTS,),
-                        tuple(map(within, m.objects)) or (OBJECTS,)))
+    return list(
+        product(
+            (flag[m.retry],),
+            (flag[m.write],),
+            m.groups or (GROUPS,),
+            m.parts or (PARTS,),
+            tuple(map(within, m.objects)) or (OBJECTS,),
+        )
+    )
 
 
 class Cover:
@@ -74,13 +81,13 @@
         self.taken: dict[str, list[tuple[str, Box]]] = {c.name: [] for c in settings.classes}
         self.cuts = 0
         self.given_up = False
-        self.takers: list[str] = []          # of the last route that took nothing: who takes what it matches
+        self.takers: list[str] = []  # of the last route that took nothing: who takes what it matches
 
     def add(self, route: Route) -> set[str]:
         """Classes of which this route takes something.  Empty for one that can never match."""
         names = tuple(c.name for c in self.classes if route.match.fits(c))
         if not self.here(route):
-            return set(names)                # another zone's: what is left there is not known here
+            return set(names)  # another zone's: what is left there is not known here
         taken: set[str] = set()
         mine = [] if self.given_up else boxes(route)
         for name in names:
@@ -107,8 +114,14 @@
             if len(left) > BOXES_MOST or self.cuts > CUTS_MOST:
                 self.given_up = True
         if not taken and not self.given_up:
-            self.takers = list(dict.fromkeys(other for name in names for other, box in self.taken[name]
-                                             if any(meets(box, b) for b in mine)))
+            self.takers = list(
+                dict.fromkeys(
+                    other
+                    for name in names
+                    for other, box in self.taken[name]
+                    if any(meets(box, b) for b in mine)
+                )
+            )
         for name in taken:
             self.taken[name].extend((route.name, box) for box in mine)
         return taken
--- a/kelpcroft/operator/check.py
+++ b/kelpcroft/operator/check.py
@@ -25,7 +25,7 @@
 
 MS = 1_000_000
 REST_S = WAIT_MOST_MS / 1_000  # between two calls of a router that hears nothing new
-BOXES_MOST = 50_000          # groups times parts times objects, of all routes together
+BOXES_MOST = 50_000  # groups times parts times objects, of all routes together
 T = TypeVar("T")
 Steps = Generator[None, None, T]
 
@@ -97,19 +97,27 @@
         bounds_alone(route.bounds, f"route {shown(route.name)}", route.place, faults)
     if not file.routes and file.defaults != Bounds():
         place = min(file.defaults.places.values(), default=Place(1, 1))
-        faults.add(place, "no-rest", "the defaults have no route to apply to; add route \"rest\" { match }")
+        faults.add(place, "no-rest", 'the defaults have no route to apply to; add route "rest" { match }')
     total = 0
     for route in file.routes:
         total += count(route)
         if total > BOXES_MOST:
-            faults.add(route.match_place, "too-complex", f"up to route {shown(route.name)} the lists of "
-                       f"groups, parts and objects make over {BOXES_MOST} cases; use ranges")
+            faults.add(
+                route.match_place,
+                "too-complex",
+                f"up to route {shown(route.name)} the lists of "
+                f"groups, parts and objects make over {BOXES_MOST} cases; use ranges",
+            )
             return
     yield
     cells = too_complex(file.routes)
     if cells:
-        faults.add(file.routes[0].place, "too-complex", f"{cells} meetings of group and part ranges under "
-                   f"one object prefix, {CELLS_MOST} at most; use fewer ranges, or name objects")
+        faults.add(
+            file.routes[0].place,
+            "too-complex",
+            f"{cells} meetings of group and part ranges under "
+            f"one object prefix, {CELLS_MOST} at most; use fewer ranges, or name objects",
+        )
 
 
 def bounds_alone(b: Bounds, owner: str, place: Place, faults: Faults) -> None:
@@ -118,27 +126,41 @@
     wait = b.timeout.ns if b.timeout else 0
     attempt = b.attempt.longest() if b.attempt else 0
     if wait and attempt > wait:
-        faults.add(at("attempt", place), "attempt-over-route",
-                   f"{owner}: an attempt may take {span(attempt)} and the whole answer {span(wait)}")
+        faults.add(
+            at("attempt", place),
+            "attempt-over-route",
+            f"{owner}: an attempt may take {span(attempt)} and the whole answer {span(wait)}",
+        )
     elif wait and b.attempt and b.attempt.least_ns > wait:
-        faults.add(at("attempt", place), "attempt-over-route",
-                   f"{owner}: an attempt has {span(b.attempt.least_ns)} at the least, "
-                   f"the whole answer {span(wait)}")
+        faults.add(
+            at("attempt", place),
+            "attempt-over-route",
+            f"{owner}: an attempt has {span(b.attempt.least_ns)} at the least, the whole answer {span(wait)}",
+        )
     if b.copies and b.copies.most:
         after = b.copies.after.shortest()
         if attempt and after >= attempt:
-            faults.add(at("copies", place), "copy-after-attempt",
-                       f"{owner}: a copy is due after {span(after)}, when the attempt has ended at its "
-                       f"time-out of {span(attempt)}")
+            faults.add(
+                at("copies", place),
+                "copy-after-attempt",
+                f"{owner}: a copy is due after {span(after)}, when the attempt has ended at its "
+                f"time-out of {span(attempt)}",
+            )
         if wait and after >= wait:
-            faults.add(at("copies", place), "copy-after-attempt",
-                       f"{owner}: a copy is due after {span(after)}, past the whole wait of {span(wait)}")
+            faults.add(
+                at("copies", place),
+                "copy-after-attempt",
+                f"{owner}: a copy is due after {span(after)}, past the whole wait of {span(wait)}",
+            )
     if b.backoff:
         longest = b.backoff.longest(b.attempts or 2)
         if wait and longest >= wait:
-            faults.add(at("backoff", place), "backoff-over-wait",
-                       f"{owner}: its waits between {b.attempts or 2} attempts come to {span(longest)}, "
-                       f"the whole answer has {span(wait)}")
+            faults.add(
+                at("backoff", place),
+                "backoff-over-wait",
+                f"{owner}: its waits between {b.attempts or 2} attempts come to {span(longest)}, "
+                f"the whole answer has {span(wait)}",
+            )
 
 
 def check(file: File, settings: api.Settings) -> list[Fault]:
@@ -159,21 +181,34 @@
 
 def deployed(file: File, settings: api.Settings, faults: Faults) -> Steps[None]:
     """Names, then what each route takes, then its bounds."""
-    rest = settings.instances / REST_S       # calls of the list service that a fleet at rest makes
+    rest = settings.instances / REST_S  # calls of the list service that a fleet at rest makes
     if 0 < file.start.list_calls < rest:
-        faults.add(file.start_place, "rate-under-rest", f"{settings.instances} routers at rest call the list "
-                   f"service {rest:g} times a second; list-calls={file.start.list_calls:g} cannot be kept")
+        faults.add(
+            file.start_place,
+            "rate-under-rest",
+            f"{settings.instances} routers at rest call the list "
+            f"service {rest:g} times a second; list-calls={file.start.list_calls:g} cannot be kept",
+        )
     if file.start.count and (settings.report_how == "off" or "outstanding" not in settings.report_fields):
-        faults.add(file.start_place, "no-report", "count=#true wants servers that report 'outstanding'; "
-                   f"this deployment's report {', '.join(settings.report_fields) or 'nothing'}")
+        faults.add(
+            file.start_place,
+            "no-report",
+            "count=#true wants servers that report 'outstanding'; "
+            f"this deployment's report {', '.join(settings.report_fields) or 'nothing'}",
+        )
     classes = {c.name: c for c in settings.classes}
     for route in file.routes:
-        for what, named, known in (("class", route.match.classes, list(classes)),
-                                   ("zone", route.match.zones, list(settings.zones))):
+        for what, named, known in (
+            ("class", route.match.classes, list(classes)),
+            ("zone", route.match.zones, list(settings.zones)),
+        ):
             for name in named:
                 if name not in known:
-                    faults.add(route.match_place, f"unknown-{what}", f"route {shown(route.name)}: there is "
-                               f"no {what} {shown(name)}{instead(name, known)}")
+                    faults.add(
+                        route.match_place,
+                        f"unknown-{what}",
+                        f"route {shown(route.name)}: there is no {what} {shown(name)}{instead(name, known)}",
+                    )
     if faults.count:
         return
     cover = Cover(settings)
@@ -186,12 +221,15 @@
             earlier = cover.takers
             names = ", ".join(shown(name) for name in earlier[:3])
             names += " and others" if len(earlier) > 3 else ""
-            faults.add(route.match_place, "unreachable-route",
-                       f"route {shown(route.name)} can never match: {names or 'nothing'} takes all of it"
-                       + ("; move it up" if earlier else ""))
+            faults.add(
+                route.match_place,
+                "unreachable-route",
+                f"route {shown(route.name)} can never match: {names or 'nothing'} takes all of it"
+                + ("; move it up" if earlier else ""),
+            )
             continue
         if not route.bounds.places:
-            continue                         # it says nothing that could be wrong
+            continue  # it says nothing that could be wrong
         for cls in settings.classes:
             if cls.name in takes:
                 class_rules(route, cls, settings, faults)
@@ -199,8 +237,12 @@
     if file.routes:
         for name in cover.uncovered():
             last = file.routes[-1]
-            faults.add(last.place, "no-route", f"class {shown(name)} has requests that no route takes; "
-                       "add a last route with an empty match, route \"rest\" { match }")
+            faults.add(
+                last.place,
+                "no-route",
+                f"class {shown(name)} has requests that no route takes; "
+                'add a last route with an empty match, route "rest" { match }',
+            )
 
 
 def waits(route: Route, file: File, settings: api.Settings) -> bool:
@@ -218,25 +260,39 @@
 
     def at(key: str) -> Place:
         return b.places.get(key, route.place)
+
     most = limits.max_attempts
     if b.attempts is not None and b.attempts > most:
-        faults.add(at("attempts"), "attempts-over-deployment",
-                   f"{owner}: {b.attempts} attempts; the deployment allows {most} sends for a request")
+        faults.add(
+            at("attempts"),
+            "attempts-over-deployment",
+            f"{owner}: {b.attempts} attempts; the deployment allows {most} sends for a request",
+        )
     if b.moves is not None and b.moves > most - 1:
-        faults.add(at("moves"), "moves-over-deployment",
-                   f"{owner}: {b.moves} moves behind the first send; the deployment allows {most} in all")
+        faults.add(
+            at("moves"),
+            "moves-over-deployment",
+            f"{owner}: {b.moves} moves behind the first send; the deployment allows {most} in all",
+        )
     if b.copies and b.copies.most:
         if not limits.second_copies:
             faults.add(at("copies"), "copies-forbidden", f"{owner}: the deployment allows no second copies")
         elif b.copies.most > most - 1:
-            faults.add(at("copies"), "attempts-over-deployment",
-                       f"{owner}: {b.copies.most} copies; the deployment allows {most} sends for a request")
+            faults.add(
+                at("copies"),
+                "attempts-over-deployment",
+                f"{owner}: {b.copies.most} copies; the deployment allows {most} sends for a request",
+            )
     if b.pause_ns:
         if not limits.retry_after:
             faults.add(at("pause_ns"), "pause-forbidden", f"{owner}: the deployment tells clients no pause")
         elif b.pause_ns > limits.max_retry_after_ns > 0:
-            faults.add(at("pause_ns"), "pause-too-long", f"{owner}: a pause of {span(b.pause_ns)}, of which "
-                       f"the deployment allows {span(limits.max_retry_after_ns)}")
+            faults.add(
+                at("pause_ns"),
+                "pause-too-long",
+                f"{owner}: a pause of {span(b.pause_ns)}, of which "
+                f"the deployment allows {span(limits.max_retry_after_ns)}",
+            )
 
 
 def class_rules(route: Route, cls: api.RequestClass, settings: api.Settings, faults: Faults) -> None:
@@ -245,39 +301,60 @@
 
     def at(key: str) -> Place:
         return b.places.get(key, route.place)
+
     if cls.effect is not api.Effect.SAFE:
-        why = ("must never run twice" if cls.effect is api.Effect.UNSAFE else
-               "may be repeated only where its repeats are dropped")
+        why = (
+            "must never run twice"
+            if cls.effect is api.Effect.UNSAFE
+            else "may be repeated only where its repeats are dropped"
+        )
         if cls.effect is api.Effect.UNSAFE and b.attempts is not None and b.attempts > 1:
-            faults.add(at("attempts"), "second-attempt",
-                       f"{owner}: {b.attempts} attempts at class {shown(cls.name)}, which {why} "
-                       f"(its effect is {cls.effect.value!r}); write attempts most=1 in a route of its own")
+            faults.add(
+                at("attempts"),
+                "second-attempt",
+                f"{owner}: {b.attempts} attempts at class {shown(cls.name)}, which {why} "
+                f"(its effect is {cls.effect.value!r}); write attempts most=1 in a route of its own",
+            )
         if b.copies and b.copies.most:
-            faults.add(at("copies"), "second-copy",
-                       f"{owner}: a second copy of class {shown(cls.name)}, which {why} "
-                       f"(its effect is {cls.effect.value!r}); write copies most=0 in a route of its own")
+            faults.add(
+                at("copies"),
+                "second-copy",
+                f"{owner}: a second copy of class {shown(cls.name)}, which {why} "
+                f"(its effect is {cls.effect.value!r}); write copies most=0 in a route of its own",
+            )
     limit = cls.deadline_ns
     if not limit:
         return
     wait = b.timeout.of(limit) if b.timeout else limit
     if b.timeout and b.timeout.ns > limit:
-        faults.add(at("timeout"), "wait-over-class", f"{owner}: a wait of {span(b.timeout.ns)}, but clients "
-                   f"of class {shown(cls.name)} give up after {span(limit)}")
+        faults.add(
+            at("timeout"),
+            "wait-over-class",
+            f"{owner}: a wait of {span(b.timeout.ns)}, but clients "
+            f"of class {shown(cls.name)} give up after {span(limit)}",
+        )
         return
     if b.timeout and b.timeout.ns:
-        return                               # held against each other already, without the deployment
+        return  # held against each other already, without the deployment
     whole = f"the whole answer of class {shown(cls.name)} has {span(wait)}"
     attempt = max(b.attempt.longest(), b.attempt.least_ns) if b.attempt else 0
     if attempt > wait:
-        faults.add(at("attempt"), "attempt-over-route",
-                   f"{owner}: an attempt may take {span(attempt)}; {whole}")
+        faults.add(
+            at("attempt"), "attempt-over-route", f"{owner}: an attempt may take {span(attempt)}; {whole}"
+        )
     if b.copies and b.copies.most and b.copies.after.shortest() >= wait:
-        faults.add(at("copies"), "copy-after-attempt",
-                   f"{owner}: a copy is due after {span(b.copies.after.shortest())}; {whole}")
+        faults.add(
+            at("copies"),
+            "copy-after-attempt",
+            f"{owner}: a copy is due after {span(b.copies.after.shortest())}; {whole}",
+        )
     longest = b.backoff.longest(b.attempts or 2) if b.backoff else 0
     if b.backoff and longest >= wait:
-        faults.add(at("backoff"), "backoff-over-wait",
-                   f"{owner}: its waits between attempts come to {span(longest)}; {whole}")
+        faults.add(
+            at("backoff"),
+            "backoff-over-wait",
+            f"{owner}: its waits between attempts come to {span(longest)}; {whole}",
+        )
 
 
 def span(ns: int) -> str:
--- a/kelpcroft/operator/faults.py
+++ b/kelpcroft/operator/faults.py
@@ -9,7 +9,7 @@
 from difflib import get_close_matches
 from typing import NamedTuple
 
-FAULTS_MOST = 1_000          # of one file; what follows is not read
+FAULTS_MOST = 1_000  # of one file; what follows is not read
 
 
 class Place(NamedTuple):
--- a/kelpcroft/operator/model.py
+++ b/kelpcroft/operator/model.py
@@ -8,7 +8,7 @@
 from kelpcroft.start.begin import Begin
 from zincgrade.interface import RequestClass
 
-Range = tuple[int, int]      # both ends included
+Range = tuple[int, int]  # both ends included
 GROUPS: Range = (0, 255)
 PARTS: Range = (0, 9_999)
 EFFECTS = ("safe", "keyed", "unsafe")
@@ -73,12 +73,12 @@
 
     classes: tuple[str, ...] = ()
     groups: tuple[Range, ...] = ()
-    objects: tuple[str, ...] = ()          # hex digits that the object begins with
+    objects: tuple[str, ...] = ()  # hex digits that the object begins with
     parts: tuple[Range, ...] = ()
     zones: tuple[str, ...] = ()
     retry: bool | None = None
     write: bool | None = None
-    effects: tuple[str, ...] = ()          # what a class is, whatever it is called: see ``fits``
+    effects: tuple[str, ...] = ()  # what a class is, whatever it is called: see ``fits``
     through: bool | None = None
     multipart: bool | None = None
 
@@ -89,9 +89,12 @@
     def fits(self, cls: RequestClass) -> bool:
         """Whether it takes requests of a class: by its name, its effect, whether it runs at the origin and
         leaves no copy, and whether its objects have parts."""
-        return ((not self.classes or cls.name in self.classes)
-                and (not self.effects or cls.effect.value in self.effects)
-                and self.through in (None, cls.uncacheable) and self.multipart in (None, cls.in_parts))
+        return (
+            (not self.classes or cls.name in self.classes)
+            and (not self.effects or cls.effect.value in self.effects)
+            and self.through in (None, cls.uncacheable)
+            and self.multipart in (None, cls.in_parts)
+        )
 
     def rest(self) -> bool:
         """Whether it takes whatever comes."""
@@ -153,7 +156,7 @@
     """Control replicas that tell the list and the purges, in place of the configuration's feed."""
 
     addresses: tuple[tuple[str, int], ...]
-    stale_ns: int = 3 * 10**9    # one that has heard nothing for so long is left for another
+    stale_ns: int = 3 * 10**9  # one that has heard nothing for so long is left for another
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,7 +166,7 @@
     routes: tuple[Route, ...] = ()
     budgets: tuple[Budget, ...] = ()
     defaults: Bounds = Bounds()
-    state: bool = False      # the control address tells what this process is and did
+    state: bool = False  # the control address tells what this process is and did
     start: Begin = Begin()
     replicas: Replicas | None = None
     start_place: Place = field(default=Place(), compare=False)
--- a/kelpcroft/operator/reader.py
+++ b/kelpcroft/operator/reader.py
@@ -32,12 +32,12 @@
 VERSION = 1
 SECOND = 10**9
 STALE_LEAST_NS, STALE_MOST_NS = 2 * SECOND, 60 * SECOND
-COUNT_MOST = 64              # attempts, moves and copies in a file; the deployment has a bound of its own
+COUNT_MOST = 64  # attempts, moves and copies in a file; the deployment has a bound of its own
 OPEN_MOST = 1_000_000
-BURST = 10.0                 # of a budget that does not say
+BURST = 10.0  # of a budget that does not say
 HEX = re.compile(r"[0-9a-f]{1,16}")
 TOP = ("kelpcroft", "control", "start", "replicas", "defaults", "budget", "route")
-REPLICAS_MOST = 16           # addresses of control replicas
+REPLICAS_MOST = 16  # addresses of control replicas
 NOT_RUN = {"miss", "full", "refused", "moot", "connect"}  # outcomes that belong to moves
 PARTS_OF_BOUNDS = ("timeout", "attempt", "attempts", "moves", "backoff", "copies", "limit", "pause")
 
@@ -50,7 +50,7 @@
 
     def __init__(self, faults: Faults) -> None:
         self.faults = faults
-        self.uses: list[tuple[str, int]] = []      # budgets that are named, and where
+        self.uses: list[tuple[str, int]] = []  # budgets that are named, and where
 
     # What all nodes share ---------------------------------------------------------------------------------
 
@@ -61,16 +61,21 @@
             self.faults.add(place, "unknown-key", f"{item.name!r} takes {what}")
         for key, prop in item.props.items():
             if key not in keys:
-                self.faults.add(prop.key_place, "unknown-key",
-                                f"{item.name!r} has no {shown(key)}{instead(key, keys)}")
+                self.faults.add(
+                    prop.key_place, "unknown-key", f"{item.name!r} has no {shown(key)}{instead(key, keys)}"
+                )
         seen: set[str] = set()
         for child in item.children:
             if child.name not in children:
-                self.faults.add(child.place, "unknown-node",
-                                f"{item.name!r} holds no {shown(child.name)}{instead(child.name, children)}")
+                self.faults.add(
+                    child.place,
+                    "unknown-node",
+                    f"{item.name!r} holds no {shown(child.name)}{instead(child.name, children)}",
+                )
             elif child.name in seen and child.name != "match":
-                self.faults.add(child.place, "duplicate-node",
-                                f"{child.name!r} stands twice in this {item.name!r}")
+                self.faults.add(
+                    child.place, "duplicate-node", f"{child.name!r} stands twice in this {item.name!r}"
+                )
             seen.add(child.name)
 
     def value(self, item: Item, place: int, raw: Value, read: Callable[[Value], Any]) -> Any:
@@ -99,12 +104,14 @@
 
     def name(self, item: Item) -> str:
         """A name: some printable text of up to 64 characters."""
+
         def read(raw: Value) -> str:
             text = values.text_of(raw, "a name")
             if not text or len(text) > 64 or not text.isprintable():
                 raise Unusable("bad-name", f"{shown(raw)} is no name; 1 to 64 printable characters")
             return text
-        return self.argument(item, read, f"a name, as in {item.name} \"orders\"") or ""
+
+        return self.argument(item, read, f'a name, as in {item.name} "orders"') or ""
 
     # The file ---------------------------------------------------------------------------------------------
 
@@ -118,17 +125,24 @@
         for item in items:
             yield
             if first and item.name != "kelpcroft":
-                self.faults.add(item.place, "no-version",
-                                f"the first node is 'kelpcroft version={VERSION}', not {shown(item.name)}")
+                self.faults.add(
+                    item.place,
+                    "no-version",
+                    f"the first node is 'kelpcroft version={VERSION}', not {shown(item.name)}",
+                )
             first = False
             if item.name not in TOP:
-                self.faults.add(item.place, "unknown-node",
-                                f"a file holds no {shown(item.name)}{instead(item.name, TOP)}")
+                self.faults.add(
+                    item.place, "unknown-node", f"a file holds no {shown(item.name)}{instead(item.name, TOP)}"
+                )
                 continue
             if item.name in ("kelpcroft", "control", "start", "replicas", "defaults"):
                 if item.name in seen:
-                    self.faults.add(item.place, "duplicate-node",
-                                    f"{item.name!r} stands at line {self.line(seen[item.name])} already")
+                    self.faults.add(
+                        item.place,
+                        "duplicate-node",
+                        f"{item.name!r} stands at line {self.line(seen[item.name])} already",
+                    )
                     continue
                 seen[item.name] = item.place
             if item.name == "kelpcroft":
@@ -146,16 +160,21 @@
             else:
                 name = self.name(item)
                 if name and (item.name, name) in names:
-                    self.faults.add(item.place, "duplicate-name", f"{item.name} {shown(name)} stands at line "
-                                    f"{self.line(names[item.name, name])} already")
+                    self.faults.add(
+                        item.place,
+                        "duplicate-name",
+                        f"{item.name} {shown(name)} stands at line "
+                        f"{self.line(names[item.name, name])} already",
+                    )
                 names.setdefault((item.name, name), item.place)
                 if item.name == "budget":
                     budgets.append(self.budget(item, name))
                 else:
                     found.append(self.route(item, name))
         routes = tuple(Route(r.name, r.match, r.bounds.over(defaults), r.place, r.match_place) for r in found)
-        file = File(routes, tuple(budgets), defaults, state, begin, replicas,
-                    self.faults.place(seen.get("start", 0)))
+        file = File(
+            routes, tuple(budgets), defaults, state, begin, replicas, self.faults.place(seen.get("start", 0))
+        )
         self.names_agree(file)
         return file
 
@@ -171,15 +190,22 @@
         elif isinstance(prop.value, bool) or not isinstance(prop.value, int):
             self.faults.add(prop.place, "wrong-type", f"a version is a whole number, not {shown(prop.value)}")
         elif prop.value != VERSION:
-            self.faults.add(prop.place, "unknown-version",
-                            f"version {shown(prop.value)} is not known here; version {VERSION} is")
+            self.faults.add(
+                prop.place,
+                "unknown-version",
+                f"version {shown(prop.value)} is not known here; version {VERSION} is",
+            )
 
     def start(self, item: Item) -> Begin:
         """How routers begin beside each other."""
         self.form(item, 0, ("list-calls", "store", "count"))
         if not item.props:
-            self.faults.add(item.place, "missing-value", "'start' wants list-calls=50, the calls a second "
-                            "that the list service bears of all routers, store=#true or count=#true")
+            self.faults.add(
+                item.place,
+                "missing-value",
+                "'start' wants list-calls=50, the calls a second "
+                "that the list service bears of all routers, store=#true or count=#true",
+            )
         calls = self.prop(item, "list-calls", lambda v: values.number(v, 0.1, 1e6, "bad-rate"))
         return Begin(calls or 0.0, *(bool(self.prop(item, key, values.flag)) for key in ("store", "count")))
 
@@ -188,9 +214,12 @@
         self.form(item, REPLICAS_MOST, ("stale",))
         stale = self.prop(item, "stale", values.duration)
         if stale is not None and not STALE_LEAST_NS <= stale <= STALE_MOST_NS:
-            self.faults.add(item.props["stale"].place, "bad-duration",
-                            f"'stale' is from {STALE_LEAST_NS // SECOND}s, as a replica hears from "
-                            f"upstream once a second, to {STALE_MOST_NS // SECOND}s")
+            self.faults.add(
+                item.props["stale"].place,
+                "bad-duration",
+                f"'stale' is from {STALE_LEAST_NS // SECOND}s, as a replica hears from "
+                f"upstream once a second, to {STALE_MOST_NS // SECOND}s",
+            )
             stale = None
         found = self.addresses(item)
         if not found:
@@ -207,14 +236,18 @@
             elif address is not None:
                 found[address] = place
         if not item.args:
-            self.faults.add(item.place, "missing-value",
-                            f"{item.name!r} wants addresses, as in {item.name} \"10.0.0.1:7100\"")
+            self.faults.add(
+                item.place,
+                "missing-value",
+                f'{item.name!r} wants addresses, as in {item.name} "10.0.0.1:7100"',
+            )
         return tuple(found)
 
     def budget(self, item: Item, name: str) -> Budget:
         self.form(item, 1, ("ratio", "least", "burst"))
-        ratio = self.prop(item, "ratio", lambda v: values.number(v, 0, 10, "bad-ratio"),
-                          "a ratio, as in ratio=0.2")
+        ratio = self.prop(
+            item, "ratio", lambda v: values.number(v, 0, 10, "bad-ratio"), "a ratio, as in ratio=0.2"
+        )
         least = self.prop(item, "least", values.rate)
         burst = self.prop(item, "burst", lambda v: values.number(v, 1, values.BURST_MOST, "bad-ratio"))
         place = self.faults.place(item.place)
@@ -225,34 +258,45 @@
         matches = [child for child in item.children if child.name == "match"]
         match = Match()
         if not matches:
-            self.faults.add(item.place, "missing-value",
-                            f"route {shown(name)} has no 'match'; an empty one takes all")
+            self.faults.add(
+                item.place, "missing-value", f"route {shown(name)} has no 'match'; an empty one takes all"
+            )
         else:
             match = self.match(matches[0])
             for more in matches[1:]:
-                self.faults.add(more.place, "duplicate-node", f"route {shown(name)} has a 'match' already; "
-                                "one takes lists, such as class=\"a,b\"")
+                self.faults.add(
+                    more.place,
+                    "duplicate-node",
+                    f"route {shown(name)} has a 'match' already; one takes lists, such as class=\"a,b\"",
+                )
         place = matches[0].place if matches else item.place
         return Route(name, match, self.bounds(item), self.faults.place(item.place), self.faults.place(place))
 
     def match(self, item: Item) -> Match:
-        self.form(item, 0, ("class", "group", "object", "part", "zone", "retry", "write", "effect", "through",
-                           "multipart"))
+        self.form(
+            item,
+            0,
+            ("class", "group", "object", "part", "zone", "retry", "write", "effect", "through", "multipart"),
+        )
         return Match(
             classes=tuple(self.prop(item, "class", values.words) or ()),
-            groups=self.ranges(item, "group", GROUPS), parts=self.ranges(item, "part", PARTS),
+            groups=self.ranges(item, "group", GROUPS),
+            parts=self.ranges(item, "part", PARTS),
             objects=tuple(self.prop(item, "object", self.objects) or ()),
             zones=tuple(self.prop(item, "zone", values.words) or ()),
-            retry=self.prop(item, "retry", values.flag), write=self.prop(item, "write", values.flag),
+            retry=self.prop(item, "retry", values.flag),
+            write=self.prop(item, "write", values.flag),
             effects=tuple(self.prop(item, "effect", self.effects) or ()),
             through=self.prop(item, "through", values.flag),
-            multipart=self.prop(item, "multipart", values.flag))
+            multipart=self.prop(item, "multipart", values.flag),
+        )
 
     def ranges(self, item: Item, key: str, whole: Range) -> tuple[Range, ...]:
         def read(raw: Value) -> tuple[Range, ...]:
             if isinstance(raw, int) and not isinstance(raw, bool):
                 return (values.span(raw, whole),)
             return tuple(values.span(word, whole) for word in values.words(raw, "a range"))
+
         return self.prop(item, key, read) or ()
 
     @staticmethod
@@ -260,8 +304,11 @@
         found = values.words(raw)
         for word in found:
             if word not in EFFECTS:
-                raise Unusable("unknown-effect", f"there is no effect {shown(word)}{instead(word, EFFECTS)}; "
-                               f"there are {', '.join(EFFECTS)}")
+                raise Unusable(
+                    "unknown-effect",
+                    f"there is no effect {shown(word)}{instead(word, EFFECTS)}; "
+                    f"there are {', '.join(EFFECTS)}",
+                )
         return found
 
     @staticmethod
@@ -292,13 +339,16 @@
         def read(raw: Value) -> Wait:
             part = values.share(raw)
             return Wait(ns=values.duration(raw, "a wait")) if part is None else Wait(share=part)
+
         return [("timeout", self.argument(item, read, 'a wait, as in timeout "2.5s"'), item.place)]
 
     def moment(self, item: Item, key: str, need: str) -> Moment | None:
         """A duration or a quantile under ``key``, with ``least`` and ``most``."""
+
         def read(raw: Value) -> Moment:
             part = values.quantile(raw)
             return Moment(ns=values.duration(raw, "a moment")) if part is None else Moment(quantile=part)
+
         found: Moment | None = self.prop(item, key, read, need)
         least = self.prop(item, "least", values.duration)
         most = self.prop(item, "most", values.duration) if key != "after" else None  # there it counts copies
@@ -307,12 +357,16 @@
         if found.ns:
             for k in ("least", "most"):
                 if k in item.props and not (key == "after" and k == "most"):
-                    self.faults.add(item.props[k].key_place, "unknown-key",
-                                    f"{k!r} goes with a quantile, and {key!r} is a duration")
+                    self.faults.add(
+                        item.props[k].key_place,
+                        "unknown-key",
+                        f"{k!r} goes with a quantile, and {key!r} is a duration",
+                    )
             return found
         if least and most and least > most:
-            self.faults.add(item.props["least"].place, "least-over-most",
-                            f"{item.name}: 'least' is over 'most'")
+            self.faults.add(
+                item.props["least"].place, "least-over-most", f"{item.name}: 'least' is over 'most'"
+            )
             return None
         return Moment(quantile=found.quantile, least_ns=least or 0, most_ns=most or 0)
 
@@ -325,8 +379,11 @@
         self.form(item, 0, ("most", "on", "budget"))
         most = self.prop(item, "most", lambda v: values.count(v, 1, COUNT_MOST))
         on, budget = self.prop(item, "on", self.outcomes), self.use(item)
-        return [("attempts", most, self.at(item, "most")), ("on", on, self.at(item, "on")),
-                ("budget", budget, self.at(item, "budget"))]
+        return [
+            ("attempts", most, self.at(item, "most")),
+            ("on", on, self.at(item, "on")),
+            ("budget", budget, self.at(item, "budget")),
+        ]
 
     def read_moves(self, item: Item) -> list[Said]:
         self.form(item, 0, ("most",))
@@ -338,8 +395,9 @@
 
         def jitter(raw: Value) -> bool:
             if raw not in ("full", "none"):
-                raise Unusable("unknown-word", f"jitter is \"full\" or \"none\", not {shown(raw)}")
+                raise Unusable("unknown-word", f'jitter is "full" or "none", not {shown(raw)}')
             return raw == "full"
+
         first = self.prop(item, "first", values.duration, 'a first wait, as in first="20ms"')
         most = self.prop(item, "most", values.duration)
         drawn = self.prop(item, "jitter", jitter)
@@ -378,16 +436,20 @@
         found = values.words(raw)
         for word in found:
             if word in NOT_RUN:
-                raise Unusable("unknown-outcome",
-                               f"{shown(word)} proves that nothing ran; 'moves' bounds what follows it")
+                raise Unusable(
+                    "unknown-outcome",
+                    f"{shown(word)} proves that nothing ran; 'moves' bounds what follows it",
+                )
             if word not in OUTCOMES:
                 raise Unusable("unknown-outcome", f"{shown(word)} is no outcome{instead(word, OUTCOMES)}")
         return frozenset(found)
 
     def use(self, item: Item) -> str | None:
         """A budget that is named."""
+
         def read(raw: Value) -> str:
             return values.text_of(raw, "a name")
+
         found: str | None = self.prop(item, "budget", read)
         if found is not None:
             self.uses.append((found, item.props["budget"].place))
@@ -398,10 +460,15 @@
         known = [budget.name for budget in file.budgets]
         for name, place in self.uses:
             if name not in known:
-                self.faults.add(place, "unknown-budget",
-                                f"there is no budget {shown(name)}{instead(name, known)}")
+                self.faults.add(
+                    place, "unknown-budget", f"there is no budget {shown(name)}{instead(name, known)}"
+                )
         used = {name for name, _ in self.uses}
         for budget in file.budgets:
             if budget.name and budget.name not in used:
-                self.faults.add(budget.place, "unused-budget", f"nobody uses budget {shown(budget.name)}; "
-                                "name it at 'attempts' or 'copies', or take it out")
+                self.faults.add(
+                    budget.place,
+                    "unused-budget",
+                    f"nobody uses budget {shown(budget.name)}; "
+                    "name it at 'attempts' or 'copies', or take it out",
+                )
--- a/kelpcroft/operator/text.py
+++ b/kelpcroft/operator/text.py
@@ -15,10 +15,10 @@
 
 from kelpcroft.operator.faults import NEWLINE, Faults, Place, Source, shown
 
-BYTES_MOST = 1 << 20         # of a file
-NODES_MOST = 20_100          # in it
-DEPTH_MOST = 16              # of children in children
-ENTRIES_MOST = 26_000        # arguments and properties in all
+BYTES_MOST = 1 << 20  # of a file
+NODES_MOST = 20_100  # in it
+DEPTH_MOST = 16  # of children in children
+ENTRIES_MOST = 26_000  # arguments and properties in all
 
 Value = str | int | float | bool | None
 
@@ -28,11 +28,13 @@
     rf"|(?P<block>/\*)|(?P<dash>/-)|(?P<more>\\{BLANK}*(?://[^\n\r]*)?(?:{NEWLINE}|\Z))|(?P<mark>[;{{}}()=])"
     r'|(?P<raw>(?P<hashes>#+)(?:"""(?s:.*?)"""|"(?s:.*?)")(?P=hashes))'
     r'|(?P<long>"""(?s:(?:\\.|[^\\])*?)""")|(?P<string>"(?:\\(?s:.)|[^"\\])*")'
-    r"|(?P<word>(?:[^\s{}();=\"\\/\ufeff\x85\u2028\u2029])+)|(?P<end>\Z))")
+    r"|(?P<word>(?:[^\s{}();=\"\\/\ufeff\x85\u2028\u2029])+)|(?P<end>\Z))"
+)
 EQUALS = re.compile(rf"{BLANK}*(?:(?P<sure>=)|/\*|\\)")
-SIMPLE = re.compile(                        # most properties and arguments, in one match
+SIMPLE = re.compile(  # most properties and arguments, in one match
     rf'{BLANK}*(?:(?P<key>[A-Za-z_][A-Za-z0-9_-]*)=(?P<value>"[^"\\\n\r]*"|[A-Za-z0-9_.#-]+)'
-    r'|(?P<arg>"[^"\\\n\r]*"))(?=[ \t\n;{}])')
+    r'|(?P<arg>"[^"\\\n\r]*"))(?=[ \t\n;{}])'
+)
 BLOCK = re.compile(r"/\*|\*/")
 
 
@@ -133,7 +135,7 @@
                 kind, at, word = self.take(skip_lines=True)
             if kind in ("", "newline", "comment") or kind == "mark" and word in (";", "}"):
                 if word == "}":
-                    self.at = start          # closes the node round this one
+                    self.at = start  # closes the node round this one
                 spot.end = max(spot.end, start)
                 return False
             if kind == "mark" and word == "{":
@@ -198,7 +200,7 @@
             match = TOKEN.match(self.text, self.at)
             if match is None:
                 at = self.at
-                raise NotKdl(at, f"nothing in KDL begins with {shown(self.text[at:at + 12])}")
+                raise NotKdl(at, f"nothing in KDL begins with {shown(self.text[at : at + 12])}")
             kind = match.lastgroup or ""
             at = match.start(kind)
             self.at = match.end()
@@ -261,18 +263,21 @@
     try:
         text = data.decode()
     except UnicodeDecodeError as error:
-        before = data[:error.start].decode()
-        faults.add(Source(before).place(len(before)), "not-utf8",
-                   f"byte {data[error.start]:#04x} begins no UTF-8 character; save the file as UTF-8")
+        before = data[: error.start].decode()
+        faults.add(
+            Source(before).place(len(before)),
+            "not-utf8",
+            f"byte {data[error.start]:#04x} begins no UTF-8 character; save the file as UTF-8",
+        )
         return
     faults.source = Source(text)
     try:
         for spot in Locator(text).run():
             try:
-                nodes = ckdl.parse(text[spot.at:spot.end], version=2).nodes
+                nodes = ckdl.parse(text[spot.at : spot.end], version=2).nodes
             except ValueError as error:
                 at = worst(text, spot)
-                faults.add(at, "not-kdl", f"{error}: near {shown(text[at:at + 30])}")
+                faults.add(at, "not-kdl", f"{error}: near {shown(text[at : at + 30])}")
                 continue
             yield from beside(nodes, [spot], faults)
     except NotKdl as error:
@@ -285,7 +290,7 @@
     while True:
         for spot in spots:
             try:
-                ckdl.parse(text[spot.at:spot.end], version=2)
+                ckdl.parse(text[spot.at : spot.end], version=2)
             except ValueError:
                 at, spots = spot.at, spot.children
                 break
@@ -302,8 +307,12 @@
     for node, spot in zip(nodes, spots, strict=True):
         found, values = node.properties, node.args
         if len(values) != len(spot.args) or len(found) != len({key for key, _, _ in spot.props}):
-            faults.add(spot.at, "not-kdl", f"the parts of {shown(node.name)} cannot be told apart; "
-                       "write them without escapes and comments")
+            faults.add(
+                spot.at,
+                "not-kdl",
+                f"the parts of {shown(node.name)} cannot be told apart; "
+                "write them without escapes and comments",
+            )
             continue
         props: dict[str, Property] = {}
         for key, at, value_at in spot.props:
--- a/kelpcroft/operator/values.py
+++ b/kelpcroft/operator/values.py
@@ -29,14 +29,23 @@
 def text_of(value: object, what: str) -> str:
     """A string; anything else is the wrong type."""
     if not isinstance(value, str):
-        raise Unusable("wrong-type",
-                       f"{what} is written as text, such as {EXAMPLES[what]}, not {shown(value)}")
+        raise Unusable(
+            "wrong-type", f"{what} is written as text, such as {EXAMPLES[what]}, not {shown(value)}"
+        )
     return value.strip()
 
 
-EXAMPLES = {"a duration": '"250ms"', "a wait": '"2.5s" or "80%"', "a moment": '"150ms" or "p95"',
-            "a rate": '"5/s"', "a range": '"8..19"', "a name": '"orders"', "a list": '"error,reset"',
-            "hex digits": '"7f3a"', "an address": '"10.0.0.1:7100"'}
+EXAMPLES = {
+    "a duration": '"250ms"',
+    "a wait": '"2.5s" or "80%"',
+    "a moment": '"150ms" or "p95"',
+    "a rate": '"5/s"',
+    "a range": '"8..19"',
+    "a name": '"orders"',
+    "a list": '"error,reset"',
+    "hex digits": '"7f3a"',
+    "an address": '"10.0.0.1:7100"',
+}
 
 
 def duration(value: object, what: str = "a duration") -> int:
@@ -95,8 +104,9 @@
     text = text_of(value, "a rate")
     match = RATE.fullmatch(text)
     if not match or match[2] not in ("s", "m"):
-        raise Unusable("bad-rate",
-                       f"{shown(text)} is no rate; write one a second or a minute, as \"5/s\" or \"30/m\"")
+        raise Unusable(
+            "bad-rate", f'{shown(text)} is no rate; write one a second or a minute, as "5/s" or "30/m"'
+        )
     found = float(match[1]) / (60 if match[2] == "m" else 1)
     if not 0 <= found <= RATE_MOST:
         raise Unusable("bad-rate", f"{shown(text)} is not from 0 to {RATE_MOST:g}/s")
--- a/kelpcroft/purge/floors.py
+++ b/kelpcroft/purge/floors.py
@@ -15,9 +15,9 @@
 
 from kelpcroft.purge.order import Stamp
 
-PARTS_END = 10_000           # parts are 0 to 9,999
-NEVER = Stamp(0, 0, 0)       # older than any purge
-TAGGED_MOST = 100_000        # objects whose tags are remembered
+PARTS_END = 10_000  # parts are 0 to 9,999
+NEVER = Stamp(0, 0, 0)  # older than any purge
+TAGGED_MOST = 100_000  # objects whose tags are remembered
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,8 +27,8 @@
     object: int | None = None
     group: int | None = None
     tag: str | None = None
-    cls: str | None = None       # of a pattern; None = any
-    prefix: str = ""             # of a pattern: hex digits that the object begins with
+    cls: str | None = None  # of a pattern; None = any
+    prefix: str = ""  # of a pattern: hex digits that the object begins with
     parts: tuple[int, int] = (0, PARTS_END - 1)
 
 
@@ -80,7 +80,7 @@
         self.objects: dict[int, Stamp] = {}
         self.groups: dict[int, Stamp] = {}
         self.tags: dict[str, Stamp] = {}
-        self.any_tag = NEVER                 # the newest purge of any tag
+        self.any_tag = NEVER  # the newest purge of any tag
         self.patterns: dict[int, dict[str, dict[str | None, Runs]]] = {}  # by length, prefix, class
         self.tagged: OrderedDict[tuple[int, int], frozenset[str]] = OrderedDict()
         self.tagged_most = tagged_most
--- a/kelpcroft/purge/order.py
+++ b/kelpcroft/purge/order.py
@@ -11,14 +11,14 @@
 from typing import NamedTuple
 
 MS = 1_000_000
-AHEAD_MS = 5_000             # a stamp further ahead of the own clock is refused: twice two seconds, and some
+AHEAD_MS = 5_000  # a stamp further ahead of the own clock is refused: twice two seconds, and some
 COUNTER_MOST = 0xFFFF
 
 
 class Stamp(NamedTuple):
     """A place in the order; tuples compare as the order is."""
 
-    ms: int                  # Unix milliseconds, of the clock or of what was heard
+    ms: int  # Unix milliseconds, of the clock or of what was heard
     counter: int
     router: int
 
--- a/kelpcroft/retune/check.py
+++ b/kelpcroft/retune/check.py
@@ -24,7 +24,7 @@
 
 from kelpcroft.deployment.known import host_port
 
-FAULTS_MOST = 100            # named in one pass; the rest are counted
+FAULTS_MOST = 100  # named in one pass; the rest are counted
 EFFECTS = ("safe", "keyed", "unsafe")
 
 
@@ -32,7 +32,7 @@
 class Fault:
     """One reason why a file cannot be used: where, what was found there, and what would do."""
 
-    place: str               # a path of keys and indices, as settings.classes[2].give_up_ns
+    place: str  # a path of keys and indices, as settings.classes[2].give_up_ns
     found: str
     wanted: str
 
@@ -47,8 +47,13 @@
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        return None, [Fault(f"line {error.lineno} column {error.colno}", f"not JSON: {error.msg}",
-                            "a whole JSON object would do")]
+        return None, [
+            Fault(
+                f"line {error.lineno} column {error.colno}",
+                f"not JSON: {error.msg}",
+                "a whole JSON object would do",
+            )
+        ]
     if not isinstance(raw, dict):
         return None, [Fault("", f"is a JSON {type(raw).__name__}", "a JSON object would do")]
     return raw, []
@@ -67,8 +72,13 @@
         classes(settings.get("classes"), faults)
         limits = settings.get("limits")
         if isinstance(limits, dict) and "most_tries" in limits and not whole(limits["most_tries"]):
-            faults.append(Fault("settings.limits.most_tries", shown(limits["most_tries"]),
-                                "a positive whole number of attempts would do"))
+            faults.append(
+                Fault(
+                    "settings.limits.most_tries",
+                    shown(limits["most_tries"]),
+                    "a positive whole number of attempts would do",
+                )
+            )
     elif "settings" in new:
         faults.append(Fault("settings", shown(settings), "an object would do"))
     feed = new.get("feed")
@@ -105,7 +115,7 @@
     for n, c in enumerate(found):
         at = f"settings.classes[{n}]"
         if not isinstance(c, dict):
-            continue                 # named by ``missing`` where the file in use has objects there
+            continue  # named by ``missing`` where the file in use has objects there
         name = c.get("name")
         if not isinstance(name, str) or not name:
             faults.append(Fault(f"{at}.name", shown(name), "a name of at least one character would do"))
@@ -114,8 +124,9 @@
         else:
             names.add(name)
         if "give_up_ns" in c and not positive(c["give_up_ns"]):
-            faults.append(Fault(f"{at}.give_up_ns", shown(c["give_up_ns"]),
-                                "a positive number of nanoseconds would do"))
+            faults.append(
+                Fault(f"{at}.give_up_ns", shown(c["give_up_ns"]), "a positive number of nanoseconds would do")
+            )
         effect = c.get("idempotency")
         if effect is not None and effect not in EFFECTS:
             faults.append(Fault(f"{at}.idempotency", shown(effect), f"one of {', '.join(EFFECTS)} would do"))
@@ -123,8 +134,9 @@
 
 def positive(value: Any) -> bool:
     """A number above 0 that is neither true nor false, nor infinite."""
-    return (not isinstance(value, bool) and isinstance(value, (int, float)) and value > 0
-            and math.isfinite(value))
+    return (
+        not isinstance(value, bool) and isinstance(value, (int, float)) and value > 0 and math.isfinite(value)
+    )
 
 
 def whole(value: Any) -> bool:
--- a/kelpcroft/retune/plan.py
+++ b/kelpcroft/retune/plan.py
@@ -20,7 +20,7 @@
 from zincgrade import interface as api
 
 MS = 1_000_000
-PASSAGE_NS = 2_000 * MS      # the stricter of old and new is used for so long
+PASSAGE_NS = 2_000 * MS  # the stricter of old and new is used for so long
 NARROWNESS = {"all": 0, "zone": 1, "cell": 2}  # who drops the repeats of a key; others: by the new file
 STRICTNESS = {api.Effect.SAFE: 0, api.Effect.KEYED: 1, api.Effect.UNSAFE: 2}
 
@@ -32,14 +32,17 @@
     came: tuple[str, ...]
     went: tuple[str, ...]
     changed: tuple[str, ...]
-    attempts: tuple[int, int]        # before, after
+    attempts: tuple[int, int]  # before, after
 
     def __bool__(self) -> bool:
         return bool(self.came or self.went or self.changed or self.attempts[0] != self.attempts[1])
 
     def __str__(self) -> str:
-        parts = [f"{what}: {', '.join(names)}" for what, names in (
-            ("came", self.came), ("went", self.went), ("changed", self.changed)) if names]
+        parts = [
+            f"{what}: {', '.join(names)}"
+            for what, names in (("came", self.came), ("went", self.went), ("changed", self.changed))
+            if names
+        ]
         if self.attempts[0] != self.attempts[1]:
             parts.append(f"attempts {self.attempts[0]} to {self.attempts[1]}")
         return "; ".join(parts) or "no class or limit changed"
@@ -49,9 +52,11 @@
     """The classes that came, went or changed, and the attempts before and after."""
     was, now = {c.name: c for c in old.classes}, {c.name: c for c in new.classes}
     return Change(
-        came=tuple(n for n in now if n not in was), went=tuple(n for n in was if n not in now),
+        came=tuple(n for n in now if n not in was),
+        went=tuple(n for n in was if n not in now),
         changed=tuple(n for n in now if n in was and now[n] != was[n]),
-        attempts=(old.limits.max_attempts, new.limits.max_attempts))
+        attempts=(old.limits.max_attempts, new.limits.max_attempts),
+    )
 
 
 def stricter(a: api.RequestClass, b: api.RequestClass) -> api.RequestClass:
@@ -64,8 +69,14 @@
     group = max(keyed, key=lambda c: NARROWNESS.get(c.group, 0)).group if keyed else b.group
     deadlines = [d for d in (a.deadline_ns, b.deadline_ns) if d > 0]
     deadline = min(deadlines) if deadlines else 0
-    return replace(b, effect=effect, deadline_ns=deadline, window_ns=window, group=group,
-                   uncacheable=a.uncacheable or b.uncacheable)
+    return replace(
+        b,
+        effect=effect,
+        deadline_ns=deadline,
+        window_ns=window,
+        group=group,
+        uncacheable=a.uncacheable or b.uncacheable,
+    )
 
 
 def limits_of(a: api.Limits, b: api.Limits) -> api.Limits:
--- a/kelpcroft/rollout/stages.py
+++ b/kelpcroft/rollout/stages.py
@@ -397,8 +397,10 @@
                     self.harm(router, "not-ready", f"{router.target.name} {what} in time after its change")
                 else:
                     self.stuck(router, f"{what} in time after it was changed back")
-        elif router.phase is Phase.COLD and self.unknown(router) and (
-            self.now - max(router.heard_ns, self.looked_ns) > self.plan.ready_ns
+        elif (
+            router.phase is Phase.COLD
+            and self.unknown(router)
+            and (self.now - max(router.heard_ns, self.looked_ns) > self.plan.ready_ns)
         ):
             # Dead or out of reach, which no answer tells: people are asked, and the stage does not hang.
             self.stuck(router, "has not answered since its change")
--- a/kelpcroft/routes/index.py
+++ b/kelpcroft/routes/index.py
@@ -17,7 +17,7 @@
 
 NOBODY = 0xFFFFFFFF
 Placed = list[tuple[int, Route]]  # with their places in the file
-CELLS_MOST = 40_000          # of a plane, runs of groups times routes; see too_complex
+CELLS_MOST = 40_000  # of a plane, runs of groups times routes; see too_complex
 
 
 class Plane:
@@ -37,7 +37,7 @@
             here = [(order, route) for order, route in routes if holds(route.match.groups, low)]
             key = tuple(order for order, _ in here)
             at = drawn.setdefault(key, len(self.starts))
-            if at == len(self.starts):       # runs of groups that are treated alike share theirs
+            if at == len(self.starts):  # runs of groups that are treated alike share theirs
                 starts, orders = paint((order, route.match.parts) for order, route in here)
             else:
                 starts, orders = self.starts[at], self.orders[at]
@@ -71,6 +71,7 @@
             after[at] = after[after[at]]
             at = after[at]
         return at
+
     for order, low, high in ranges:
         at, end = unpainted(place[low]), place[high]
         while at < end:
@@ -92,14 +93,19 @@
         self.cls = cls
         levels: dict[int, dict[str, Placed]] = {}
         for prefix, routes in by_prefix.items():
-            here = [(order, route) for order, route in routes
-                    if route.match.fits(cls) and route.match.retry in (None, retry)
-                    and route.match.write in (None, write)]
+            here = [
+                (order, route)
+                for order, route in routes
+                if route.match.fits(cls)
+                and route.match.retry in (None, retry)
+                and route.match.write in (None, write)
+            ]
             if here:
                 levels.setdefault(len(prefix), {})[prefix] = here
         self.waiting = levels
         self.planes: dict[int, dict[str, Plane | None]] = {
-            length: dict.fromkeys(found) for length, found in sorted(levels.items())}
+            length: dict.fromkeys(found) for length, found in sorted(levels.items())
+        }
 
     def first(self, object: str, group: int, part: int) -> int:
         """The place of the earliest route, or NOBODY."""
@@ -148,7 +154,10 @@
             prefixes.setdefault(prefix, []).append(route)
     for found in prefixes.values():
         edges = {e for r in found for low, high in r.match.groups for e in (low, high + 1)} | {GROUPS[0]}
-        spans = sum(max(1, len(r.match.parts)) * min(
-            len(edges), sum(high - low + 1 for low, high in r.match.groups) or len(edges)) for r in found)
+        spans = sum(
+            max(1, len(r.match.parts))
+            * min(len(edges), sum(high - low + 1 for low, high in r.match.groups) or len(edges))
+            for r in found
+        )
         worst = max(worst, spans)
     return worst if worst > CELLS_MOST else 0
--- a/kelpcroft/routes/sketch.py
+++ b/kelpcroft/routes/sketch.py
@@ -13,13 +13,13 @@
 
 LEAST_NS, MOST_NS = 1_000_000, 120 * 10**9
 GROWTH = 1.05
-HALF_NS = 10 * 10**9         # a sample counts half after so long
+HALF_NS = 10 * 10**9  # a sample counts half after so long
 BUCKETS = ceil(log(MOST_NS / LEAST_NS) / log(GROWTH)) + 1
-EDGES = [LEAST_NS * GROWTH ** n for n in range(BUCKETS)]
-SCALE_MOST = 2.0 ** 40       # weight of a new sample at which all are brought back to size
-FEW = 20.0                   # samples, faded ones counted as they fade, under which nothing is known ...
-TAIL = 2.0                   # ... nor with fewer than so many past the quantile
-FRESH_NS = 100 * 10**6       # a quantile is worked out anew so often at the most
+EDGES = [LEAST_NS * GROWTH**n for n in range(BUCKETS)]
+SCALE_MOST = 2.0**40  # weight of a new sample at which all are brought back to size
+FEW = 20.0  # samples, faded ones counted as they fade, under which nothing is known ...
+TAIL = 2.0  # ... nor with fewer than so many past the quantile
+FRESH_NS = 100 * 10**6  # a quantile is worked out anew so often at the most
 
 
 class Sketch:
@@ -28,7 +28,7 @@
     def __init__(self, now: int) -> None:
         self.counts = array("d", bytes(8 * BUCKETS))
         self.total = 0.0
-        self.epoch_ns = now                  # a sample weighs 2 ** ((now - epoch) / HALF_NS)
+        self.epoch_ns = now  # a sample weighs 2 ** ((now - epoch) / HALF_NS)
         self.known: dict[float, tuple[int, int]] = {}  # quantile: when worked out, and what
 
     def weight(self, now: int) -> float:
@@ -65,5 +65,5 @@
         for at, count in enumerate(self.counts):
             left -= count
             if left <= 0 and count:
-                return int(EDGES[at] / GROWTH ** 0.5) if at else LEAST_NS
+                return int(EDGES[at] / GROWTH**0.5) if at else LEAST_NS
         return MOST_NS
