--- a/kelpcroft/routes/table.py
+++ b/kelpcroft/routes/table.py
@@ -33,9 +33,14 @@
         self.learns = any(m is not None and m.quantile > 0 for m in (b.attempt, after))
         again = None if b.on is None else frozenset(OUTCOMES[word] for word in b.on)
         self.plain = api.Bounds(
-            attempt_ns=b.attempt.ns if b.attempt else 0, attempts=b.attempts or 0, again=again,
-            moves=-1 if b.moves is None else b.moves, copies=copies, pause_ns=b.pause_ns or 0,
-            budgeted=self.budget is not None)
+            attempt_ns=b.attempt.ns if b.attempt else 0,
+            attempts=b.attempts or 0,
+            again=again,
+            moves=-1 if b.moves is None else b.moves,
+            copies=copies,
+            pause_ns=b.pause_ns or 0,
+            budgeted=self.budget is not None,
+        )
         whole = b.timeout is None or b.timeout.share >= 1
         self.steady = whole and not b.backoff and not (b.attempt and b.attempt.quantile)
 
@@ -57,8 +62,8 @@
 
     def __init__(self, lane: Lane, bounds: api.Bounds, wait_ns: int, copy_ns: int) -> None:
         self.lane, self.bounds = lane, bounds
-        self.wait_ns = wait_ns               # for the whole answer, from now
-        self.copy_ns = copy_ns               # after which a copy of an attempt is due; 0 = none
+        self.wait_ns = wait_ns  # for the whole answer, from now
+        self.copy_ns = copy_ns  # after which a copy of an attempt is due; 0 = none
         self.budget, self.copy_budget, self.learns = lane.budget, lane.copy_budget, lane.learns
 
     def room(self, now: int) -> bool:
@@ -117,8 +122,18 @@
             self.lanes.append(lane or Lane(route, self.budgets))
         self.index = Index(file.routes, self.zone)
 
-    def take(self, now: int, cls: api.RequestClass, object: str, group: int, part: int, retry: bool,
-             write: bool, patience_ns: int, waited_ns: int) -> Grant | None:
+    def take(
+        self,
+        now: int,
+        cls: api.RequestClass,
+        object: str,
+        group: int,
+        part: int,
+        retry: bool,
+        write: bool,
+        patience_ns: int,
+        waited_ns: int,
+    ) -> Grant | None:
         """What a request is granted; None where no route takes it.  ``patience_ns`` is what is left of the
         client's, ``waited_ns`` what is gone.  The grant counts as open until it is released."""
         at = self.index.find(cls, object, group, part, retry, write)
@@ -142,8 +157,18 @@
                 wait = max(0, min(patience_ns, b.timeout.of(patience_ns + waited_ns) - waited_ns))
             waits = self.waits(b.backoff, b.attempts) if b.backoff else ()
             p = bounds
-            bounds = api.Bounds(attempt, p.attempts, p.again, p.moves, p.copies, waits, p.pause_ns,
-                                p.budgeted, False, wait < patience_ns)
+            bounds = api.Bounds(
+                attempt,
+                p.attempts,
+                p.again,
+                p.moves,
+                p.copies,
+                waits,
+                p.pause_ns,
+                p.budgeted,
+                False,
+                wait < patience_ns,
+            )
         copy = lane.moment(now, b.copies.after) if b.copies and bounds.copies else 0
         return Grant(lane, bounds, wait, copy)
 
@@ -157,9 +182,12 @@
 
     def tell(self) -> list[tuple[str, dict[str, int]]]:
         """Counters of each route that was used, and of each budget, for the log."""
-        rows = [(f"route {lane.name}", {"taken": lane.taken, "open": lane.open, "crowded": lane.crowded})
-                for lane in self.lanes if lane.taken]
-        return rows + [(f"budget {name}", {"left": int(b.tokens), "taken": b.taken, "denied": b.denied})
-                       for name, b in self.budgets.items()]
-
-
+        rows = [
+            (f"route {lane.name}", {"taken": lane.taken, "open": lane.open, "crowded": lane.crowded})
+            for lane in self.lanes
+            if lane.taken
+        ]
+        return rows + [
+            (f"budget {name}", {"left": int(b.tokens), "taken": b.taken, "denied": b.denied})
+            for name, b in self.budgets.items()
+        ]
--- a/kelpcroft/start/__init__.py
+++ b/kelpcroft/start/__init__.py
@@ -1,5 +1,5 @@
 """How a process begins: what it may do while it knows little, beside the one that it follows and beside
-hundreds that begin with it.  Pure. """
+hundreds that begin with it.  Pure."""
 
 from kelpcroft.start.begin import Begin
 from kelpcroft.start.beside import Beside
--- a/kelpcroft/start/beside.py
+++ b/kelpcroft/start/beside.py
@@ -18,10 +18,10 @@
 from zincgrade import interface as api
 
 SECOND = 1_000_000_000
-BESIDE_SHARE = 0.5           # of the router's cold budgets, for a process that may not be alone
-YES_NS = 6 * SECOND          # after the new process's yes the old one is told to end within this
-END_LEAST_NS = 3 * SECOND    # and killed after the longest deadline, taken as this at the least ...
-END_MORE_NS = 700_000_000    # ... and so much more
+BESIDE_SHARE = 0.5  # of the router's cold budgets, for a process that may not be alone
+YES_NS = 6 * SECOND  # after the new process's yes the old one is told to end within this
+END_LEAST_NS = 3 * SECOND  # and killed after the longest deadline, taken as this at the least ...
+END_MORE_NS = 700_000_000  # ... and so much more
 
 
 class Beside:
--- a/kelpcroft/start/crowd.py
+++ b/kelpcroft/start/crowd.py
@@ -18,11 +18,11 @@
 
 from zincgrade.estimate import Faded
 
-SPAN_NS = 4 * 10**9          # reports count 1/e after so long
-SAMPLES = 4.0                # of them, faded, before they say anything
-MORE, FEWER = 1.25, 1.5      # by so much at the least it must differ; and the margin where there are fewer
-MOST = 16.0                  # times the settings' number, and as small a part of it
-INSANE = 1e6                 # no cache holds as many requests
+SPAN_NS = 4 * 10**9  # reports count 1/e after so long
+SAMPLES = 4.0  # of them, faded, before they say anything
+MORE, FEWER = 1.25, 1.5  # by so much at the least it must differ; and the margin where there are fewer
+MOST = 16.0  # times the settings' number, and as small a part of it
+INSANE = 1e6  # no cache holds as many requests
 
 
 class Crowd:
--- a/kelpcroft/start/listing.py
+++ b/kelpcroft/start/listing.py
@@ -16,7 +16,7 @@
 Where the budget and the rules pull against each other: while a call is held back, what the service has is
 heard late, ``late_ns`` at the most.  Rules on drains and purges that count from when the service has its news
 want that under their grace.  So without a budget nothing of this holds: a call is made at once, a failed one
-at once and then after 25 to 400 ms, as ever. """
+at once and then after 25 to 400 ms, as ever."""
 
 from __future__ import annotations
 
@@ -24,13 +24,13 @@
 
 MS = 1_000_000
 SECOND = 1_000 * MS
-AGAIN_NS = 25 * MS           # without a budget: after a second failure in a row, doubling with each ...
-AGAIN_MOST_NS = 400 * MS     # ... up to this
+AGAIN_NS = 25 * MS  # without a budget: after a second failure in a row, doubling with each ...
+AGAIN_MOST_NS = 400 * MS  # ... up to this
 WAIT_LEAST_MS, WAIT_MOST_MS = 1_000, 4_000  # how long a call waits for news
-FIRST_MOST_NS = 5 * SECOND   # the first call is made by then, whatever the fleet
-HEED_NS = 30 * SECOND        # of Retry-After, so much is waited for at the most
-WASTE_FREE = 256 << 10       # bytes of a call that brought nothing: no more than this is a mishap ...
-WASTE_PER_S = 64 << 10       # ... and more is waited for as if it had come at this pace ...
+FIRST_MOST_NS = 5 * SECOND  # the first call is made by then, whatever the fleet
+HEED_NS = 30 * SECOND  # of Retry-After, so much is waited for at the most
+WASTE_FREE = 256 << 10  # bytes of a call that brought nothing: no more than this is a mishap ...
+WASTE_PER_S = 64 << 10  # ... and more is waited for as if it had come at this pace ...
 WASTE_MOST_NS = 60 * SECOND  # ... so long at the most: a feed that is well again is heard by then
 
 
@@ -49,6 +49,7 @@
         self.bounded, routers = calls_per_s > 0, max(1, routers)
         if self.bounded and self.random is None:
             from random import Random  # not even imported where no file names a budget
+
             self.random = Random(self.seed).random
         self.cycle_ns = int(routers / calls_per_s * SECOND) if self.bounded else 0
 
@@ -85,8 +86,11 @@
         if not self.bounded:
             return 0 if self.failures == 1 else min(AGAIN_NS << min(self.failures - 2, 8), AGAIN_MOST_NS)
         # One cut connection is heard of soon; a whole fleet's come again spread over its cycle.
-        wait = self.chance(self.cycle_ns) if self.failures == 1 else self.cycle_ns // 2 + self.chance(
-            self.cycle_ns)
+        wait = (
+            self.chance(self.cycle_ns)
+            if self.failures == 1
+            else self.cycle_ns // 2 + self.chance(self.cycle_ns)
+        )
         if retry_after_ns > 0:
             wait = max(wait, min(retry_after_ns, HEED_NS) + self.chance(self.cycle_ns))
         return wait
--- a/kelpcroft/start/lists.py
+++ b/kelpcroft/start/lists.py
@@ -19,7 +19,7 @@
 
 from kelpcroft.messages import Endpoint
 
-RESYNC_NS = 5 * 10**9        # between two askings for the whole list
+RESYNC_NS = 5 * 10**9  # between two askings for the whole list
 IN_SERVICE = "in_service"
 
 
@@ -27,10 +27,10 @@
     """What is known of each server, and up to which event."""
 
     def __init__(self) -> None:
-        self.seen = 0                                # the last event's number
-        self.lines: dict[str, Endpoint] = {}         # by id, as last taken; gone ones too for a while
+        self.seen = 0  # the last event's number
+        self.lines: dict[str, Endpoint] = {}  # by id, as last taken; gone ones too for a while
         self.resynced_ns = -RESYNC_NS
-        self.back = False                            # the answer's numbers went back
+        self.back = False  # the answer's numbers went back
 
     def answer(self, last: int) -> None:
         """An answer comes, with this last number."""
@@ -49,8 +49,9 @@
             return True
         return False
 
-    def usable(self, endpoints: Iterable[Endpoint], whole: bool, number: int
-               ) -> tuple[list[Endpoint], list[str]]:
+    def usable(
+        self, endpoints: Iterable[Endpoint], whole: bool, number: int
+    ) -> tuple[list[Endpoint], list[str]]:
         """Of a list event: the lines to use, and why others are not.  Nothing is used of a whole list where
         there is a reason and no line."""
         found, faults = list(endpoints), list[str]()
@@ -66,8 +67,12 @@
             known = self.lines.get(e.name)
             if e.state == IN_SERVICE:
                 other = homes.get(e.address)
-                if (other is not None and other.name != e.name and other.name not in leaving
-                        and e.started_ns <= other.started_ns):
+                if (
+                    other is not None
+                    and other.name != e.name
+                    and other.name not in leaving
+                    and e.started_ns <= other.started_ns
+                ):
                     faults.append(f"event {number}: {e.name} at the address of {other.name}, in service")
                     continue
                 gone = known is not None and known.state != IN_SERVICE
--- a/kelpcroft/start/starts.py
+++ b/kelpcroft/start/starts.py
@@ -14,11 +14,11 @@
 
 VERSION = 1
 SIZE_MOST = 4_096
-KEPT = 32                    # starts that are remembered
-SPAN_NS = 60 * 10**9         # those longer ago say nothing
-FREE = 2                     # starts within the span that cost no wait
-WAIT_NS = 500 * 10**6        # the first call to the list service waits so long at the next, doubling ...
-WAIT_MOST_NS = 4 * 10**9     # ... up to this: a drain must be heard of within 7 s
+KEPT = 32  # starts that are remembered
+SPAN_NS = 60 * 10**9  # those longer ago say nothing
+FREE = 2  # starts within the span that cost no wait
+WAIT_NS = 500 * 10**6  # the first call to the list service waits so long at the next, doubling ...
+WAIT_MOST_NS = 4 * 10**9  # ... up to this: a drain must be heard of within 7 s
 NS_PER_MS = 1_000_000
 
 
--- a/kelpcroft/start/store.py
+++ b/kelpcroft/start/store.py
@@ -13,10 +13,10 @@
 from __future__ import annotations
 
 FIRST = 1.0
-OPEN_MOST = 32.0             # so many out in time: nothing is bounded any more
-CALM_NS = 10 * 10**9         # nothing late for so long, and much was asked: the same
-CALM_LEAST = 20              # answers in that time
-LATE_SHARE = 2 / 3           # of a class's wanted time: a wait for the store beyond it is late
+OPEN_MOST = 32.0  # so many out in time: nothing is bounded any more
+CALM_NS = 10 * 10**9  # nothing late for so long, and much was asked: the same
+CALM_LEAST = 20  # answers in that time
+LATE_SHARE = 2 / 3  # of a class's wanted time: a wait for the store beyond it is late
 
 
 class Window:
--- a/kelpcroft/start/watch.py
+++ b/kelpcroft/start/watch.py
@@ -19,9 +19,9 @@
 from zincgrade.interface import Rules
 
 MS = 1_000_000
-LATE_NS = 400 * MS           # past its wait an answer begins by then, and goes on so soon
-LEAST_NS = 20 * MS           # nothing is doubted sooner: a call there and back takes as long
-WHOLE_NS = 5_000 * MS        # and is whole by then
+LATE_NS = 400 * MS  # past its wait an answer begins by then, and goes on so soon
+LEAST_NS = 20 * MS  # nothing is doubted sooner: a call there and back takes as long
+WHOLE_NS = 5_000 * MS  # and is whole by then
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpcroft/store/handover.py
+++ b/kelpcroft/store/handover.py
@@ -19,7 +19,7 @@
 import orjson
 
 VERSION = 1
-SIZE_MOST = 4_096            # bytes of the file; a larger one is not read
+SIZE_MOST = 4_096  # bytes of the file; a larger one is not read
 AGE_MOST_NS = 3_600 * 10**9  # one written longer ago than this says nothing of the router now
 NS_PER_MS = 1_000_000
 
@@ -29,10 +29,10 @@
     """What the last process of this router said when it last changed its state of service."""
 
     in_service: bool
-    since_ns: int            # when that state began
+    since_ns: int  # when that state began
     written_ns: int
     pid: int
-    ended_ns: int = 0        # when a process of this router last ended beside another; 0 = not told
+    ended_ns: int = 0  # when a process of this router last ended beside another; 0 = not told
 
 
 def path_of(folder: str, name: str) -> str:
@@ -43,9 +43,20 @@
 def encode(name: str, pid: int, now_ns: int, in_service: bool, since_ns: int, ended_ns: int = 0) -> bytes:
     """The file's bytes."""
     ended = {"ended_ms": ended_ns // NS_PER_MS} if ended_ns else {}
-    return orjson.dumps({"v": VERSION, "name": name, "pid": pid, "written_ms": now_ns // NS_PER_MS,
-                         "service": "in" if in_service else "out", "since_ms": since_ns // NS_PER_MS,
-                         **ended}) + b"\n"
+    return (
+        orjson.dumps(
+            {
+                "v": VERSION,
+                "name": name,
+                "pid": pid,
+                "written_ms": now_ns // NS_PER_MS,
+                "service": "in" if in_service else "out",
+                "since_ms": since_ns // NS_PER_MS,
+                **ended,
+            }
+        )
+        + b"\n"
+    )
 
 
 def decode(data: bytes, name: str, now_ns: int) -> tuple[Handed | None, str]:
@@ -60,8 +71,12 @@
     if not isinstance(raw, dict):
         return None, "is not a JSON object"
     version, least = raw.get("v"), raw.get("least", raw.get("v"))
-    if isinstance(version, bool) or not isinstance(version, int) or version < VERSION or (
-            isinstance(least, bool) or least != VERSION):
+    if (
+        isinstance(version, bool)
+        or not isinstance(version, int)
+        or version < VERSION
+        or (isinstance(least, bool) or least != VERSION)
+    ):
         return None, f"v: {str(raw.get('v'))[:20]!r} is not a version known here ({VERSION})"
     if raw.get("name") != name:
         return None, f"name: {str(raw.get('name'))[:40]!r} is another router's"
@@ -79,5 +94,6 @@
         return None, "was written in the future"
     if now_ns - written > AGE_MOST_NS:
         return None, f"was written {(now_ns - written) // 10**9} s ago"
-    return Handed(raw["service"] == "in", raw["since_ms"] * NS_PER_MS, written, raw["pid"],
-                  ended * NS_PER_MS), ""
+    return Handed(
+        raw["service"] == "in", raw["since_ms"] * NS_PER_MS, written, raw["pid"], ended * NS_PER_MS
+    ), ""
--- a/kelpcroft/store/identity.py
+++ b/kelpcroft/store/identity.py
@@ -12,7 +12,7 @@
 
 SUFFIXES = (".py", ".so")
 PLACE = ("az", "self_index")  # keys of the settings that are one router's own
-FILES_MOST = 2_000           # of a program; more are a wrong folder
+FILES_MOST = 2_000  # of a program; more are a wrong folder
 
 
 def digest(data: bytes) -> str:
@@ -40,8 +40,12 @@
     """Of the packages as they stand beside each other: both, compiled or not.  Empty where they cannot be
     read."""
     try:
-        found = [p for name in ("kelpcroft", "zincgrade") for p in (package.parent / name).rglob("*")
-                 if p.suffix in SUFFIXES]
+        found = [
+            p
+            for name in ("kelpcroft", "zincgrade")
+            for p in (package.parent / name).rglob("*")
+            if p.suffix in SUFFIXES
+        ]
         return of_files((str(p.relative_to(package.parent)), p.read_bytes()) for p in found[:FILES_MOST])
     except OSError:
         return ""
--- a/kelplab/coldstart.py
+++ b/kelplab/coldstart.py
@@ -4,7 +4,7 @@
 that answers so many calls a second, queues and falls over beyond; boxes and hubs that start cold and empty,
 have few places for connections, and topple under the sum of all routers; a store that slows when
 crowded.  Faults are part of the world's shape: a service that is dead, slow or restarts its numbering, boxes
-that are dead from the start, routers that die and come back.  A seed replays a run to the byte. """
+that are dead from the start, routers that die and come back.  A seed replays a run to the byte."""
 
 from __future__ import annotations
 
@@ -27,17 +27,17 @@
 MS, S = 10**6, 10**9
 START = 1_764_576_000 * S
 ZONE_ROUTERS, ZONE_BOXES, ZONE_HUBS = 4, 4, 10  # routers and boxes a zone; zones a hub
-UNIT_NS = 250 * MS               # sending time of a part
+UNIT_NS = 250 * MS  # sending time of a part
 AIM_NS = 250 * MS + 2 * UNIT_NS  # within which it is wanted
-ITEMS, TAIL = 20_000, 0.7        # objects, and how their popularity falls
-KEPT = 0.7                       # share of objects that a warm box has; a warm hub has as much of the rest
-ORDERS = 0.05                    # share of requests that run at the store and must not run twice
+ITEMS, TAIL = 20_000, 0.7  # objects, and how their popularity falls
+KEPT = 0.7  # share of objects that a warm box has; a warm hub has as much of the rest
+ORDERS = 0.05  # share of requests that run at the store and must not run twice
 COLD = {"cold_from": 0.2, "cold_ns": 15 * S, "fall_multiple": 2.5, "fall_ns": S}
 COLD_HUB = {"parent_cold_from": 0.1, "parent_warms_in_ns": 15 * S, "parent_fall_multiple": 2.0}
-DOWN_NS = 20 * S                 # a toppled box or hub stays away
-TRIP_NS = 2 * MS                 # there and back within a zone
-FAR_NS = 20 * MS                 # to the store
-QUEUE_NS = 1_500 * MS            # of work that the store lets wait
+DOWN_NS = 20 * S  # a toppled box or hub stays away
+TRIP_NS = 2 * MS  # there and back within a zone
+FAR_NS = 20 * MS  # to the store
+QUEUE_NS = 1_500 * MS  # of work that the store lets wait
 
 
 @dataclass
@@ -49,10 +49,10 @@
     most: int = 100
     down_ns: int = 5 * S
     dead_until: int = 0
-    renumbers: bool = False          # after a fall it counts from 1 again
+    renumbers: bool = False  # after a fall it counts from 1 again
     free_at: int = 0
     falls: int = 0
-    last: int = 2                    # its newest event
+    last: int = 2  # its newest event
     calls: list[int] = field(default_factory=list)
     held: dict[int, tuple[int, int, int]] = field(default_factory=dict)  # by router: call, after, until
 
@@ -63,7 +63,7 @@
 
     weight: float
     hub: bool
-    started: int                     # 0 = warm
+    started: int  # 0 = warm
     places: int = 10**9
     free_at: float = 0.0
     dead_until: int = 0
@@ -72,7 +72,7 @@
     dials: int = 0
     refused: int = 0
     fills: int = 0
-    room: float = 0.0                # the most of its cold room that was used
+    room: float = 0.0  # the most of its cold room that was used
     sent: list[int] = field(default_factory=list)
     holds: set[int] = field(default_factory=set)
     out: list[int] = field(default_factory=list)  # when what it holds will be through
@@ -128,10 +128,22 @@
 class Fleet:
     """All of it."""
 
-    def __init__(self, routers: int, seed: int = 1, *, cold: bool = True, cold_hubs: bool = True,
-                 rate: float = 8.0, load: float = 0.5, service: Service | None = None, believed: int = 0,
-                 places: int = 64, dead_boxes: int = 0, rules: str = "",
-                 change: Callable[[Reducer], None] | None = None) -> None:
+    def __init__(
+        self,
+        routers: int,
+        seed: int = 1,
+        *,
+        cold: bool = True,
+        cold_hubs: bool = True,
+        rate: float = 8.0,
+        load: float = 0.5,
+        service: Service | None = None,
+        believed: int = 0,
+        places: int = 64,
+        dead_boxes: int = 0,
+        rules: str = "",
+        change: Callable[[Reducer], None] | None = None,
+    ) -> None:
         """``believed``: the number of routers that the settings say, where it is another.  ``rate``: requests
         a second of a router's clients; ``load``: of warm boxes.  ``dead_boxes``: one in so many is listed and
         answers nothing.  ``rules``: the operator's file.  ``change``: done to each router before it
@@ -144,26 +156,31 @@
         weight = max(2.0, ZONE_ROUTERS * rate * UNIT_NS / S / ZONE_BOXES / load)
         fills = routers * rate * (1 - KEPT)
         hubs = max(2, self.zones // ZONE_HUBS)
-        self.boxes = {f"z{z}-b{n}": Box(weight, False, START if cold else 0, places)
-                      for z in range(self.zones) for n in range(ZONE_BOXES)}
-        self.hubs = {f"h{n}": Box(fills * UNIT_NS / S / hubs * 1.3, True, START if cold_hubs else 0)
-                     for n in range(hubs)}
+        self.boxes = {
+            f"z{z}-b{n}": Box(weight, False, START if cold else 0, places)
+            for z in range(self.zones)
+            for n in range(ZONE_BOXES)
+        }
+        self.hubs = {
+            f"h{n}": Box(fills * UNIT_NS / S / hubs * 1.3, True, START if cold_hubs else 0)
+            for n in range(hubs)
+        }
         for n, box in enumerate(self.boxes.values()):
             if dead_boxes and n % dead_boxes == 1:
                 box.dead_until = START + 10_000 * S
         self.store = Store((fills * (1 - KEPT) + routers * rate * ORDERS) * 2)
         self.seeds = {name: mix(n) for n, name in enumerate([*self.boxes, *self.hubs])}
-        self.listed: dict[int, int] = {}             # by router: when it had heard the service
-        self.asked: Counter[int] = Counter()         # by tenth of a second, as all that follow
+        self.listed: dict[int, int] = {}  # by router: when it had heard the service
+        self.asked: Counter[int] = Counter()  # by tenth of a second, as all that follow
         self.good: Counter[int] = Counter()
         self.refused: Counter[int] = Counter()
         self.dials: Counter[int] = Counter()
         self.hub_fills: Counter[int] = Counter()
         self.begun: dict[tuple[int, int], tuple[int, float]] = {}  # open calls: when, worth
         self.links: list[dict[int, str]] = [{} for _ in range(routers)]
-        self.epoch = [0] * routers                   # of each router's process
+        self.epoch = [0] * routers  # of each router's process
         self.up = [False] * routers
-        self.ran: Counter[str] = Counter()           # orders, by trace, that the store ran
+        self.ran: Counter[str] = Counter()  # orders, by trace, that the store ran
         self.routers: list[Reducer] = [self.router(n) for n in range(routers)]
         for n in range(routers):
             at = START + self.random.randrange(S)
@@ -186,8 +203,11 @@
         s.update(az=zones[0], dcs=zones, instances=self.believed, self_index=n, weight_source="nominal")
         s["family_info"].update(hub_of=[1, 1], instances_by_zone=[share, 0], pace_kb_per_s=1e3, **COLD_HUB)
         s["contract"].update(COLD)
-        lines = [self.line(name, zones[0], "box", box) for name, box in self.boxes.items()
-                 if name.startswith(f"z{zone}-")]
+        lines = [
+            self.line(name, zones[0], "box", box)
+            for name, box in self.boxes.items()
+            if name.startswith(f"z{zone}-")
+        ]
         lines += [self.line(name, "hub", "parent", box) for name, box in self.hubs.items()]
         lines.append(self.line("store", "hub", "origin", None))
         known = {"n": 1, "events": [{"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": lines}}]}
@@ -197,9 +217,16 @@
         return made
 
     def line(self, name: str, zone: str, kind: str, box: Box | None) -> dict[str, Any]:
-        return {"name": name, "address": f"{name}:1", "zone": zone, "type": kind, "status": "active",
-                "weight": box.weight if box else self.store.per_s * UNIT_NS / S, "group": 0,
-                "since_ms": box.started // MS if box else 0}
+        return {
+            "name": name,
+            "address": f"{name}:1",
+            "zone": zone,
+            "type": kind,
+            "status": "active",
+            "weight": box.weight if box else self.store.per_s * UNIT_NS / S,
+            "group": 0,
+            "since_ms": box.started // MS if box else 0,
+        }
 
     def kill(self, n: int, back_ns: int) -> None:
         """A router dies: its connections go, what its clients have asked is lost, and another process of it
@@ -254,8 +281,22 @@
     def call(self, n: int, item: int, order: bool, again: bool) -> None:
         self.made += 1
         cls, patience = ("order", 3_000 * MS) if order else ("page", 2_400 * MS)
-        call = m.Call(self.made, 1, cls, f"{self.made:016x}", patience, f"{item:016x}", "0", item, 0, 0,
-                      again, "", b"x" if order else b"", size_kb=0.0 if order else UNIT_NS / S * 1_000)
+        call = m.Call(
+            self.made,
+            1,
+            cls,
+            f"{self.made:016x}",
+            patience,
+            f"{item:016x}",
+            "0",
+            item,
+            0,
+            0,
+            again,
+            "",
+            b"x" if order else b"",
+            size_kb=0.0 if order else UNIT_NS / S * 1_000,
+        )
         self.begun[n, self.made] = self.now, 3.0 if order else 1.0
         self.carry_out(n, self.routers[n].handle(self.now, call))
 
@@ -350,7 +391,7 @@
             self.later(self.now + max(took, FAR_NS), n, answer)
             return
         if self.now < box.dead_until:
-            return                                   # silence
+            return  # silence
         took = box.take(self.now)
         if took < 0:
             return
@@ -365,8 +406,9 @@
             answer = m.Answer(e.link, e.id, Outcome.OK, note, wait, {}, False, b"x")
         at = self.now + took + TRIP_NS
         report = box.report(self.now, at)
-        self.later(at, n, m.Answer(e.link, e.id, answer.outcome, answer.note, answer.waited_ns, report, False,
-                                   b"x"))
+        self.later(
+            at, n, m.Answer(e.link, e.id, answer.outcome, answer.note, answer.waited_ns, report, False, b"x")
+        )
 
     def fill(self, e: m.Pull, item: int) -> tuple[int, Note]:
         """How long a miss waits for its source, and what is said of it; under 0 where it gets nothing."""
@@ -374,7 +416,7 @@
             return -1, Note.SOURCE_LACKS
         hub = self.hubs.get(e.source)
         if hub is None:
-            if e.source in self.boxes:               # a sibling's copy
+            if e.source in self.boxes:  # a sibling's copy
                 held = self.boxes[e.source].has(item, self.seeds[e.source])
                 return (TRIP_NS, Note.FILLED) if held else (-1, Note.SOURCE_LACKS)
             took = self.store.take(self.now)
@@ -386,7 +428,7 @@
             return -1, Note.SOURCE_BROKE
         hub.fills += 1
         self.hub_fills[self.tenth()] += 1
-        wait = took - UNIT_NS + TRIP_NS              # it passes on what it gets, at a higher pace
+        wait = took - UNIT_NS + TRIP_NS  # it passes on what it gets, at a higher pace
         if hub.has(item, self.seeds[e.source]):
             return wait, Note.FILLED
         if e.held_only:
@@ -408,8 +450,10 @@
         """The second from which on three in a row are within 0.95 of the level at the end; the last where
         none is."""
         level = 0.95 * self.worth(seconds - 5, seconds - 2)
-        return next((n for n in range(seconds - 4) if all(self.worth(k, k + 1) >= level
-                                                          for k in (n, n + 1, n + 2))), seconds)
+        return next(
+            (n for n in range(seconds - 4) if all(self.worth(k, k + 1) >= level for k in (n, n + 1, n + 2))),
+            seconds,
+        )
 
     def figures(self, seconds: int) -> dict[str, float]:
         boxes, hubs = list(self.boxes.values()), list(self.hubs.values())
@@ -417,16 +461,21 @@
         store = Counter((at - START) // S for at in self.store.asked)
         late = [max(self.listed.values()) - START] if len(self.listed) == len(self.routers) else []
         return {
-            "calls": len(self.service.calls), "calls in the worst s": max(peak.values(), default=0),
-            "falls": self.service.falls, "all listed s": round(late[0] / S, 1) if late else -1,
-            "boxes toppled": sum(b.toppled for b in boxes), "hubs toppled": sum(b.toppled for b in hubs),
+            "calls": len(self.service.calls),
+            "calls in the worst s": max(peak.values(), default=0),
+            "falls": self.service.falls,
+            "all listed s": round(late[0] / S, 1) if late else -1,
+            "boxes toppled": sum(b.toppled for b in boxes),
+            "hubs toppled": sum(b.toppled for b in hubs),
             "cold room": round(max(b.room for b in boxes), 2),
             "hubs' room": round(max(b.room for b in hubs), 2),
             "dials a box": round(sum(b.dials for b in boxes) / len(boxes), 1),
             "refused": sum(b.refused for b in boxes),
             "store in the worst s": round(max(store.values(), default=0) / self.store.per_s, 2),
-            "worth 5 s": round(self.worth(0, 5), 3), "10 s": round(self.worth(0, 10), 3),
-            "30 s": round(self.worth(0, min(30, seconds - 2)), 3), "to 95% s": self.to_95(seconds),
+            "worth 5 s": round(self.worth(0, 5), 3),
+            "10 s": round(self.worth(0, 10), 3),
+            "30 s": round(self.worth(0, min(30, seconds - 2)), 3),
+            "to 95% s": self.to_95(seconds),
             "orders twice": sum(count > 1 for count in self.ran.values()),
         }
 
--- a/kelplab/field/datagrams.py
+++ b/kelplab/field/datagrams.py
@@ -2,7 +2,7 @@
 
 Each datagram is lost, repeated, kept for longer than the next or delayed as a seed says, by its number: the
 same datagrams in the same order meet the same fate.  Answers go back the way their requests came, as each
-sender gets a socket of its own towards the target. """
+sender gets a socket of its own towards the target."""
 
 from __future__ import annotations
 
--- a/kelplab/field/field.py
+++ b/kelplab/field/field.py
@@ -126,8 +126,11 @@
             "name": name,
             "listen": f"{self.host}:{self.address[1]}",
             "mgmt": f"{self.host}:{self.mgmt[1]}",
-            "feed": (f"127.0.0.1:{field.world.relays['feed'].address[1]}" if "feed" in field.world.relays
-                     else field.world.at("feed")),
+            "feed": (
+                f"127.0.0.1:{field.world.relays['feed'].address[1]}"
+                if "feed" in field.world.relays
+                else field.world.at("feed")
+            ),
             "known": {"n": 1, "events": [field.world.members()]},
             "settings": settings,
         }
@@ -260,8 +263,9 @@
     def __enter__(self) -> Field:
         if self.cold:
             at = time.time_ns() // MS
-            self.world.now = {name: self.world.line(name, since_ms=at) for name, *_ in self.world.rows
-                              if name != "origin"}
+            self.world.now = {
+                name: self.world.line(name, since_ms=at) for name, *_ in self.world.rows if name != "origin"
+            }
         self.began_ns = time.monotonic_ns()
         self.world.__enter__()
         for zone in self.zones:
@@ -343,9 +347,16 @@
         settings = next(iter(self.nodes.values())).config["settings"]
         servers = {name: (id, self.world.weight) for name, id, *_ in self.world.rows}
         cold = {id: self.began_ns for name, (id, _) in servers.items() if name != "origin"}
-        return Watch(self.world, load.asked, Rules.of(settings, 20 * MS), servers, killed, cut,
-                     cold if self.cold else {},
-                     frozenset(id for _, id, _, kind in self.world.rows if kind == "parent"))
+        return Watch(
+            self.world,
+            load.asked,
+            Rules.of(settings, 20 * MS),
+            servers,
+            killed,
+            cut,
+            cold if self.cold else {},
+            frozenset(id for _, id, _, kind in self.world.rows if kind == "parent"),
+        )
 
     def plan(
         self,
--- a/kelplab/field/watch.py
+++ b/kelplab/field/watch.py
@@ -160,9 +160,13 @@
                 continue
             for line in event.get("members", {}).get("endpoints", ()):
                 if line["status"] != "active":
-                    back = [self.born[k] for k, e in self.news.items() if k > n for other in
-                            e.get("members", {}).get("endpoints", ())
-                            if other["name"] == line["name"] and other["status"] == "active"]
+                    back = [
+                        self.born[k]
+                        for k, e in self.news.items()
+                        if k > n
+                        for other in e.get("members", {}).get("endpoints", ())
+                        if other["name"] == line["name"] and other["status"] == "active"
+                    ]
                     late = told + self.rules.drain_grace_ns + SLACK_NS
                     self.drained(line["name"], late, min(back, default=0))
                 elif line.get("since_ms"):
--- a/kelplab/fleet.py
+++ b/kelplab/fleet.py
@@ -46,9 +46,18 @@
                     number = self.tries.get((n, a.id), 0)
                     self.tries[n, a.id] = number + 1
                     took, outcome, note, report = self.reply(now, a) or (
-                        a.timeout_ns, Outcome.TIMEOUT, Note.NONE, {})
-                    self.at(now + took, n, api.AttemptEnded(a.id, number, a.cache, outcome, took,
-                                                            outcome is Outcome.OK, note, 50 * MS, report))
+                        a.timeout_ns,
+                        Outcome.TIMEOUT,
+                        Note.NONE,
+                        {},
+                    )
+                    self.at(
+                        now + took,
+                        n,
+                        api.AttemptEnded(
+                            a.id, number, a.cache, outcome, took, outcome is Outcome.OK, note, 50 * MS, report
+                        ),
+                    )
                 elif isinstance(a, (api.Refuse, api.Fail)):
                     self.ended.append((now, a))
 
--- a/kelplab/rollouts.py
+++ b/kelplab/rollouts.py
@@ -73,7 +73,7 @@
         self.never_ready = False  # of the new build
         self.crash_after = 0  # of the new build, in ns
         self.wander = 0.0
-        self.later: list[Event] = []         # answers of this second, told behind its tick
+        self.later: list[Event] = []  # answers of this second, told behind its tick
 
     def tell(self, event: Event) -> None:
         for effect in self.rollout.handle(self.now, event):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,7 +21,7 @@
 
     def __init__(self, listed: list[Listed]) -> None:
         self.listed = {one.test: one for one in listed}
-        self.failed: dict[str, str] = {}     # tests of the list that failed, and how
+        self.failed: dict[str, str] = {}  # tests of the list that failed, and how
         self.passed: list[str] = []
 
     @pytest.hookimpl(wrapper=True)
@@ -50,8 +50,11 @@
     known = {item.nodeid for item in items}
     files = {item.nodeid.partition("::")[0] for item in items}
     # A run of one file says nothing of tests in others, but for files that are not there at all.
-    here = [one for one in listed if one.test.partition("::")[0] in files
-            or not (ROOT / one.test.partition("::")[0]).exists()]
+    here = [
+        one
+        for one in listed
+        if one.test.partition("::")[0] in files or not (ROOT / one.test.partition("::")[0]).exists()
+    ]
     wrong += faults(here, known if not config.getoption("keyword") else None)
     if wrong:
         raise pytest.UsageError("\n".join(f"{path.name}: {why}" for why in wrong))
--- a/tests/player.py
+++ b/tests/player.py
@@ -40,9 +40,13 @@
 ROOT = Path(__file__).parent.parent
 EXAMPLE = json.loads((ROOT / "examples/config.json").read_bytes())
 PROGRAM = ROOT / os.environ.get("KELPCROFT_FROM", ".")  # .compiled/now plays against what `run` starts
-WAIT_S = 20                  # a test that waits so long has failed; none passes or fails by less
-SERVERS = {"cache1": ("s-c1", "edge-1", "box"), "cache2": ("s-c2", "edge-1", "box"),
-           "parent": ("s-p", "hub", "parent"), "origin": ("s-o", "hub", "origin")}
+WAIT_S = 20  # a test that waits so long has failed; none passes or fails by less
+SERVERS = {
+    "cache1": ("s-c1", "edge-1", "box"),
+    "cache2": ("s-c2", "edge-1", "box"),
+    "parent": ("s-p", "hub", "parent"),
+    "origin": ("s-o", "hub", "origin"),
+}
 
 
 def _classes(raw: dict[str, Any], change: Callable[[list[dict[str, Any]]], object]) -> bytes:
@@ -57,8 +61,9 @@
     "half": lambda raw: json.dumps(raw).encode()[:200],
     "unkeyed": lambda raw: json.dumps({k: v for k, v in raw.items() if k != "settings"}).encode(),
     "deadline": lambda raw: _classes(raw, lambda c: c[0].update(give_up_ns=-5)),
-    "attempts": lambda raw: json.dumps({**raw, "settings": {
-        **raw["settings"], "limits": {**raw["settings"]["limits"], "most_tries": 0}}}).encode(),
+    "attempts": lambda raw: json.dumps(
+        {**raw, "settings": {**raw["settings"], "limits": {**raw["settings"]["limits"], "most_tries": 0}}}
+    ).encode(),
     "fresh": lambda raw: _classes(raw, lambda c: c.append({**c[0], "name": "fresh"})),
 }
 
@@ -66,8 +71,13 @@
 class Player:
     """One run of the program with its feed and its servers."""
 
-    def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = tuple(SERVERS),
-                 inherit: bool = False, orders: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        only: tuple[str, ...] = tuple(SERVERS),
+        inherit: bool = False,
+        orders: dict[str, Any] | None = None,
+    ) -> None:
         """``inherit``: the clients' listening socket is made here and handed down as ROUTER_FD.  ``orders``:
         what the settings say otherwise of the class of orders."""
         self.case = case
@@ -82,12 +92,19 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = self.held.getsockname() if self.held else free.getsockname()
         self.mgmts = {"mgmt": self.free()}
-        endpoints = [{"name": server, "address": self.at(n), "zone": zone, "type": kind, "status": "active"}
-                     for n, (server, zone, kind) in SERVERS.items() if n in only]
+        endpoints = [
+            {"name": server, "address": self.at(n), "zone": zone, "type": kind, "status": "active"}
+            for n, (server, zone, kind) in SERVERS.items()
+            if n in only
+        ]
         members = {"index": 1, "snapshot": True, "endpoints": endpoints}
-        self.config = {**EXAMPLE, "listen": f"127.0.0.1:{self.address[1]}", "feed": self.at("feed"),
-                       "mgmt": f"127.0.0.1:{self.mgmts['mgmt'][1]}",
-                       "known": {"n": 1, "events": [{"n": 1, "members": members}]}}
+        self.config = {
+            **EXAMPLE,
+            "listen": f"127.0.0.1:{self.address[1]}",
+            "feed": self.at("feed"),
+            "mgmt": f"127.0.0.1:{self.mgmts['mgmt'][1]}",
+            "known": {"n": 1, "events": [{"n": 1, "members": members}]},
+        }
         settings = copy.deepcopy(EXAMPLE["settings"])
         settings["classes"][1].update(orders or {})
         self.config["settings"] = settings
@@ -109,9 +126,15 @@
         env = {**os.environ, "ROUTER_CONFIG": str(self.path), "TMPDIR": self.folder.name, **more}
         if self.held:
             env["ROUTER_FD"] = str(self.held.fileno())
-        self.programs.append(subprocess.Popen(
-            [sys.executable, "-m", "kelpcroft"], cwd=PROGRAM, stderr=self.log, env=env,
-            pass_fds=(self.held.fileno(),) if self.held else ()))
+        self.programs.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "kelpcroft"],
+                cwd=PROGRAM,
+                stderr=self.log,
+                env=env,
+                pass_fds=(self.held.fileno(),) if self.held else (),
+            )
+        )
         return self.programs[-1]
 
     def at(self, name: str) -> str:
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -154,23 +154,49 @@
     def start(self, folder: Path, listener: socket.socket, config: Path) -> subprocess.Popen[bytes]:
         with (folder / "log").open("a") as log:
             return subprocess.Popen(
-                [sys.executable, "-O", "-m", "kelpcroft"], cwd=PROGRAM, stdout=log, stderr=log,
+                [sys.executable, "-O", "-m", "kelpcroft"],
+                cwd=PROGRAM,
+                stdout=log,
+                stderr=log,
                 pass_fds=(listener.fileno(),),
-                env={**os.environ, "ROUTER_CONFIG": str(config), "ROUTER_FD": str(listener.fileno()),
-                     "TMPDIR": str(folder)})
+                env={
+                    **os.environ,
+                    "ROUTER_CONFIG": str(config),
+                    "ROUTER_FD": str(listener.fileno()),
+                    "TMPDIR": str(folder),
+                },
+            )
 
     def test_an_upgrade_beside_a_cold_cache(self) -> None:
-        with tempfile.TemporaryDirectory() as name, Cold(servers=("cache1", "parent", "origin")) as world, \
-                socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
+        with (
+            tempfile.TemporaryDirectory() as name,
+            Cold(servers=("cache1", "parent", "origin")) as world,
+            socket.create_server(("127.0.0.1", 0), backlog=64) as listener,
+        ):
             folder, stop = Path(name), threading.Event()
-            raw = {**EXAMPLE, "listen": "127.0.0.1:1", "feed": world.at("feed"), "mgmt": None,
-                   "known": {"n": 1, "events": [world.members()]}}
+            raw = {
+                **EXAMPLE,
+                "listen": "127.0.0.1:1",
+                "feed": world.at("feed"),
+                "mgmt": None,
+                "known": {"n": 1, "events": [world.members()]},
+            }
             raw.pop("mgmt")
             info = {**raw["settings"]["family_info"], "pace_kb_per_s": 1_000.0}
-            contract = {**raw["settings"]["contract"], "cold_from": 0.2, "cold_ns": 600 * S, "fall_ns": S,
-                        "fall_multiple": 2.0}
-            raw["settings"] = {**raw["settings"], "family_info": info, "contract": contract,
-                               "weight_source": "nominal", "instances": 1}
+            contract = {
+                **raw["settings"]["contract"],
+                "cold_from": 0.2,
+                "cold_ns": 600 * S,
+                "fall_ns": S,
+                "fall_multiple": 2.0,
+            }
+            raw["settings"] = {
+                **raw["settings"],
+                "family_info": info,
+                "contract": contract,
+                "weight_source": "nominal",
+                "instances": 1,
+            }
             config = folder / "config.json"
             config.write_bytes(orjson.dumps(raw))
             served = [0]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -53,12 +53,17 @@
 
     def test_explain_names_route_lines_and_what_can_follow(self) -> None:
         lines = Path(EXAMPLE).read_text().splitlines()
-        told = json.loads(run("explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--part", "9",
-                              "--format", "json").stdout)
+        told = json.loads(
+            run(
+                "explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--part", "9", "--format", "json"
+            ).stdout
+        )
         self.assertEqual((told["route"], told["longest_wait_ms"], told["most_sends"]), ("tails", 2_000, 6))
         for bound in told["bounds"]:
-            self.assertIn(bound["bound"].split()[0].replace("tried", "attempts").replace("budget", "budget="),
-                          lines[bound["line"] - 1])
+            self.assertIn(
+                bound["bound"].split()[0].replace("tried", "attempts").replace("budget", "budget="),
+                lines[bound["line"] - 1],
+            )
         order = run("explain", EXAMPLE, "--config", CONFIG, "--class", "order", "--write")
         self.assertIn("one of which may have run", order.output)
         self.assertIn("longest wait: 2.5s", order.output)
@@ -75,10 +80,14 @@
             self.assertEqual({c["class"] for c in told["changes"]}, {"page"})
 
     def test_used_wrongly_is_one_line_and_two(self) -> None:
-        for words in (("check", "/nowhere/file"), ("check", EXAMPLE, "--config", "/nowhere/config"),
-                      ("check", EXAMPLE, "--config", EXAMPLE), ("check", str(ROOT)),
-                      ("explain", EXAMPLE, "--config", CONFIG, "--class", "pge"),
-                      ("explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--object", "xyz")):
+        for words in (
+            ("check", "/nowhere/file"),
+            ("check", EXAMPLE, "--config", "/nowhere/config"),
+            ("check", EXAMPLE, "--config", EXAMPLE),
+            ("check", str(ROOT)),
+            ("explain", EXAMPLE, "--config", CONFIG, "--class", "pge"),
+            ("explain", EXAMPLE, "--config", CONFIG, "--class", "page", "--object", "xyz"),
+        ):
             with self.subTest(words=words):
                 done = run(*words)
                 self.assertEqual(done.exit_code, 2, done.output)
@@ -89,15 +98,27 @@
 
     def test_serve_is_the_router_itself(self) -> None:
         with World() as world, Router(world) as other, tempfile.TemporaryDirectory() as folder:
-            other.process.terminate()        # its configuration and its port are taken over
+            other.process.terminate()  # its configuration and its port are taken over
             other.process.wait(20)
             log = Path(folder) / "log"
-            words = ["serve", "--config", str(other.rules.with_name("config.json")), "--file", EXAMPLE,
-                     "--name", "n7", "--format", "json"]
+            words = [
+                "serve",
+                "--config",
+                str(other.rules.with_name("config.json")),
+                "--file",
+                EXAMPLE,
+                "--name",
+                "n7",
+                "--format",
+                "json",
+            ]
             with log.open("w") as stream:
                 other.process = subprocess.Popen(
-                    [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT,
-                    stderr=stream, env={**os.environ, "PYTHONPATH": str(ROOT)})
+                    [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"],
+                    cwd=ROOT,
+                    stderr=stream,
+                    env={**os.environ, "PYTHONPATH": str(ROOT)},
+                )
             self.assertEqual(other.client().ask("page").kind, "served")
             modules = Path(f"/proc/{other.process.pid}/cmdline").read_bytes().split(b"\0")
             self.assertEqual(modules[1:3], [b"-m", b"kelpcroft"], "nothing of the command line stays")
@@ -125,8 +146,17 @@
 
     def test_json_lines(self) -> None:
         first, last = (json.loads(line) for line in self.write(1, "json"))
-        self.assertEqual(first, {"time": "2025-12-01T08:00:00.123456Z", "level": "warning", "router": "n1",
-                                 "event": "feed.lost", "text": "feed: cut\noff", "why": "cut"})
+        self.assertEqual(
+            first,
+            {
+                "time": "2025-12-01T08:00:00.123456Z",
+                "level": "warning",
+                "router": "n1",
+                "event": "feed.lost",
+                "text": "feed: cut\noff",
+                "why": "cut",
+            },
+        )
         self.assertEqual(list(first)[0], "time")
         self.assertEqual(last["level"], "warning", "an event's own field hides none of the first")
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -61,6 +61,7 @@
             except OSError:
                 return True
             return len(t.loop.parting) == 1
+
         t.until(flood, f"it is over {LINGERING_CLOSE_MAX_BYTES} bytes")
         self.assertFalse(rests.reset)
         t.turn(LINGERING_CLOSE_TIMEOUT_NS + 200 * MS)
@@ -86,10 +87,11 @@
 
         def push() -> bool:
             try:
-                rest[0] = rest[0][cache.sock.send(rest[0]):]
+                rest[0] = rest[0][cache.sock.send(rest[0]) :]
             except BlockingIOError:
                 pass
             return not rest[0]
+
         t.until(push, "the answer is on its way")
         t.until(lambda: not t.loop.reducer.state.requests, "it is answered")
         client.send(b"\xc1" + b"\x00" * 10_000)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -19,13 +19,15 @@
 
 ZONES, EACH = 6, 4
 ALL = ZONES * EACH
-CALLS = 10                   # calls a second that the routers' file grants all of them
+CALLS = 10  # calls a second that the routers' file grants all of them
 BUDGET = RULES + f"start list-calls={CALLS}\n"
 CYCLE_S = ALL / CALLS
 S = 1_000 * MS
 # Boxes and hubs are warm within 8 s, so that a test sees all of it.
-QUICK = {"contract": {"cold_from": 0.2, "cold_ns": 8 * S, "fall_multiple": 2.5, "fall_ns": S},
-         "family_info": {"parent_cold_from": 0.1, "parent_warms_in_ns": 8 * S}}
+QUICK = {
+    "contract": {"cold_from": 0.2, "cold_ns": 8 * S, "fall_multiple": 2.5, "fall_ns": S},
+    "family_info": {"parent_cold_from": 0.1, "parent_warms_in_ns": 8 * S},
+}
 
 
 def until(found: Callable[[], bool], seconds: float = WAIT_S) -> bool:
@@ -54,7 +56,7 @@
         self.addCleanup(made.__exit__)
         return made
 
-    @pytest.mark.long            # after its fall the calls of the second come near what it bears
+    @pytest.mark.long  # after its fall the calls of the second come near what it bears
     def test_a_list_service_that_is_dead_and_one_that_falls_over_and_counts_anew(self) -> None:
         """Dead for 6 s: a bounded number of calls from all routers, then all of them out of step; what it has
         told meanwhile reaches everyone.  Then it falls, and its numbers begin at 1 again."""
@@ -140,7 +142,7 @@
         self.assertEqual(field.watch(load, killed=True).found, [])
         self.assertGreater(load.count["served"], 100, load.count)
 
-    @pytest.mark.long            # on a busy machine the feed may take longer than it is waited for
+    @pytest.mark.long  # on a busy machine the feed may take longer than it is waited for
     def test_one_that_stood_still_asks_before_it_sends(self) -> None:
         """Its call is answered with nothing while it stands still; then a box drains, which counts as told.
         What waits in its sockets must not go there when it wakes: the answer it finds is from before."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -24,27 +24,36 @@
         for size in (1, 2, 7, len(READY)):
             codec, said = ControlCodec(), []
             for at in range(0, len(READY), size):
-                said.append(codec.feed(READY[at:at + size]))
+                said.append(codec.feed(READY[at : at + size]))
             with self.subTest(size=size):
                 self.assertEqual([s for s in said if s is not None], [m.Verb.READY])
                 self.assertFalse(codec.partial())
         out = b"PUT /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
-        for text, verb in ((out, m.Verb.OUT),
-                           (b"PUT /control/in-service/ HTTP/1.1\r\n\r\n", m.Verb.IN),
-                           (b"GET /control/ready?now=1 HTTP/1.0\r\n\r\n", m.Verb.READY)):
+        for text, verb in (
+            (out, m.Verb.OUT),
+            (b"PUT /control/in-service/ HTTP/1.1\r\n\r\n", m.Verb.IN),
+            (b"GET /control/ready?now=1 HTTP/1.0\r\n\r\n", m.Verb.READY),
+        ):
             self.assertIs(ControlCodec().feed(text), verb)
 
     def test_what_is_no_call_is_answered_and_nothing_more_is_read(self) -> None:
         cases = [
-            (b"GET /control HTTP/1.1\r\n\r\n", 404), (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
-            (b"DELETE /control/ready HTTP/1.1\r\n\r\n", 405), (b"hello\r\n\r\n", 400),
+            (b"GET /control HTTP/1.1\r\n\r\n", 404),
+            (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
+            (b"DELETE /control/ready HTTP/1.1\r\n\r\n", 405),
+            (b"hello\r\n\r\n", 400),
             (b"GET /control/ready HTTP/1.1\r\nHost: a\r\nHost\r\n\r\n", 400),
             (b"GET /control/ready HTTP/1.1\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n", 400),
             (b"GET /control/ready HTTP/1.1\r\nX: " + b"a" * HEAD_MOST + b"\r\n\r\n", 431),
             (b"GET /" + b"a" * (HEAD_MOST + 10), 431),
             (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (BODY_MOST + 1), 413),
-            (b"PUT /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-             + b"%x\r\n" % (BODY_MOST + 1) + b"a" * (BODY_MOST + 1) + b"\r\n0\r\n\r\n", 413),
+            (
+                b"PUT /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + b"%x\r\n" % (BODY_MOST + 1)
+                + b"a" * (BODY_MOST + 1)
+                + b"\r\n0\r\n\r\n",
+                413,
+            ),
         ]
         for text, code in cases:
             with self.subTest(text=text[:60], code=code):
@@ -105,14 +114,19 @@
     def test_a_drain_through_the_reducer(self) -> None:
         r = router()
         r.handle(NOW, m.ClientCame(1))
-        self.assertEqual(r.handle(NOW, m.Control(7, m.Verb.READY)),
-                         [m.Reply(7, True, {"ready": True, "service": "in"})])
+        self.assertEqual(
+            r.handle(NOW, m.Control(7, m.Verb.READY)), [m.Reply(7, True, {"ready": True, "service": "in"})]
+        )
         effects = r.handle(NOW, m.Control(8, m.Verb.OUT))
         self.assertEqual(only(m.Release, effects), [m.Release(True)])
-        self.assertEqual(only(m.Reply, effects), [m.Reply(8, True, {
-            "ready": False, "service": "out", "why": "out of service"})])
-        self.assertEqual(only(m.Reply, r.handle(NOW, m.Control(9, m.Verb.READY)))[0],
-                         m.Reply(9, False, {"ready": False, "service": "out", "why": "out of service"}))
+        self.assertEqual(
+            only(m.Reply, effects),
+            [m.Reply(8, True, {"ready": False, "service": "out", "why": "out of service"})],
+        )
+        self.assertEqual(
+            only(m.Reply, r.handle(NOW, m.Control(9, m.Verb.READY)))[0],
+            m.Reply(9, False, {"ready": False, "service": "out", "why": "out of service"}),
+        )
         self.assertEqual(r.handle(NOW, m.AskHealth(1, 1)), [m.TellHealth(1, 1, False)])
         # Requests on kept connections are served for a while, then refused, at once.
         self.assertEqual(only(m.Dial, r.handle(NOW + MS, call(2))) != [], True)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -130,7 +130,7 @@
         self.setUp()
         self.store.dies_before = at if what == "before" else 0
         self.store.dies_behind = at if what == "behind" else 0
-        self.store.dead = True             # whoever dies gives no lease back
+        self.store.dead = True  # whoever dies gives no lease back
         died = False
         try:
             self.assertEqual(self.lead(at if what == "order" else 0), Outcome.DONE)
@@ -140,7 +140,7 @@
         last = self.store.last()
         if died and last is not None and last.outcome != "done":
             with self.assertRaises(LeaseLost):
-                self.lead()                # the dead one's lease still runs
+                self.lead()  # the dead one's lease still runs
             self.sleep(16.0)
             self.assertEqual(self.lead(), Outcome.DONE, (what, at))
         for p in self.world.processes.values():
@@ -176,6 +176,7 @@
 
     def test_a_third_of_the_links_is_late_or_cut(self) -> None:
         """More silent routers than ``unknown`` hold it and are named; it goes on when people say so."""
+
         class Deaf(Fake):
             cut = False
 
@@ -222,7 +223,8 @@
             plan = self.plan(
                 f'act timeout="400ms" {{ apply "{python}" "-c" "print(\'no {{router}}\'); exit(3)"; '
                 f'undo "{python}" "-c" "import time; time.sleep(9)"; restart "/nowhere/at/all" }}',
-                Path(name), 1,
+                Path(name),
+                1,
             )
             hands, target = Commands(plan), plan.routers[0]
             self.assertIn("ended with 3: no n1", hands.act(target, Act.APPLY))
@@ -231,8 +233,11 @@
 
     def test_local_processes(self) -> None:
         """Started where nothing runs, left alone where it is as it should, ended and begun anew where not."""
-        with tempfile.TemporaryDirectory() as name, socket.create_server(("127.0.0.1", 0)) as a, \
-                socket.create_server(("127.0.0.1", 0)) as b:
+        with (
+            tempfile.TemporaryDirectory() as name,
+            socket.create_server(("127.0.0.1", 0)) as a,
+            socket.create_server(("127.0.0.1", 0)) as b,
+        ):
             folder, ports = Path(name), (a.getsockname()[1], b.getsockname()[1])
             a.close()
             b.close()
@@ -240,7 +245,8 @@
             raw |= {"name": "n1", "listen": f"127.0.0.1:{ports[0]}", "mgmt": f"127.0.0.1:{ports[1]}"}
             (folder / "config.json").write_text(json.dumps(raw))
             (folder / "rules.kdl").write_text(
-                'kelpcroft version=1\ncontrol state=#true\nroute "rest" { match; }\n')
+                'kelpcroft version=1\ncontrol state=#true\nroute "rest" { match; }\n'
+            )
             plan = self.plan(f'act local=#true {{ old "{ROOT}"; new "{ROOT}" }}', folder, ports[1])
             hands, target = Local(plan), plan.routers[0]
             try:
@@ -314,8 +320,16 @@
             (Path(name) / "new.json").write_text(json.dumps(raw))
             (Path(name) / "plan.kdl").write_text(self.plan(f"{name}/old.json", f"{name}/new.json"))
             done = subprocess.run(
-                [sys.executable, "-c", f"from kelpcroft.cli import main; main(['rollout', 'plan', "
-                 f"'{name}/plan.kdl'])"], cwd=ROOT, capture_output=True, text=True, timeout=60)
+                [
+                    sys.executable,
+                    "-c",
+                    f"from kelpcroft.cli import main; main(['rollout', 'plan', '{name}/plan.kdl'])",
+                ],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
             self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
             return done.stdout
 
@@ -339,19 +353,24 @@
         self.assertIn("homes not known: zone edge-1", self.shown(lambda raw: raw.update(settings=5)))
 
     def test_one_build_tells_its_own(self) -> None:
-        done = CliRunner().invoke(main, ["homes", "--config", str(ROOT / "examples/config.json"),
-                                         "--objects", "50"])
+        done = CliRunner().invoke(
+            main, ["homes", "--config", str(ROOT / "examples/config.json"), "--objects", "50"]
+        )
         self.assertIn("s-cache: 50", done.output)
 
 
 class Groups(unittest.TestCase):
     """Control groups and memory, in virtual time."""
 
-    STAGES = ('stage "one" count=1 least="30s" most="900s" control=1\n'
-              'stage "half" share="50%" least="30s" most="900s"\n'
-              'stage "all" share="100%" least="30s" most="900s"\n')
-    MORE = ('limits at-once=3 per-zone=2\nact { apply "a"; undo "b"; restart "c" }\n'
-            'watch every="1s" slowest="30s" ready="10s" cold="60s" unknown=1\n')
+    STAGES = (
+        'stage "one" count=1 least="30s" most="900s" control=1\n'
+        'stage "half" share="50%" least="30s" most="900s"\n'
+        'stage "all" share="100%" least="30s" most="900s"\n'
+    )
+    MORE = (
+        'limits at-once=3 per-zone=2\nact { apply "a"; undo "b"; restart "c" }\n'
+        'watch every="1s" slowest="30s" ready="10s" cold="60s" unknown=1\n'
+    )
 
     def run_with(self, harm: Any) -> World:
         world = World(plan_of(2, 4, self.STAGES, self.MORE), 1, harm)
@@ -379,12 +398,15 @@
         self.assertLessEqual(max(world.most_away.get(f"z{n}", 0) for n in range(2)), 2)
 
     def test_its_limits_are_checked(self) -> None:
-        good = (f'rollout version=1\nchange {{ program build="beef"; }}\n{self.STAGES}{self.MORE}'
-                + "".join(f'router "n{n}" zone="z"\n' for n in range(3)))
+        good = f'rollout version=1\nchange {{ program build="beef"; }}\n{self.STAGES}{self.MORE}' + "".join(
+            f'router "n{n}" zone="z"\n' for n in range(3)
+        )
         self.assertEqual(load(good.encode())[1], [])
         for old, new, code in (
-            ("per-zone=2", "per-zone=1", "control-room"), ('; restart "c"', "", "no-restart"),
-            ("count=1 ", "count=2 ", "control-many"), ("control=1", "control=3", "control-few"),
+            ("per-zone=2", "per-zone=1", "control-room"),
+            ('; restart "c"', "", "no-restart"),
+            ("count=1 ", "count=2 ", "control-many"),
+            ("control=1", "control=3", "control-few"),
         ):
             with self.subTest(code=code):
                 self.assertIn(code, [f.code for f in load(good.replace(old, new).encode())[1]])
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -33,12 +33,21 @@
 QUICK = settings(max_examples=80, deadline=None, derandomize=True)
 classes = st.lists(
     st.builds(
-        api.RequestClass, name=st.text("abcxyz-", min_size=1, max_size=8), effect=st.sampled_from(api.Effect),
-        group=st.sampled_from(["all", "zone", "cell"]), uncacheable=st.booleans(), in_parts=st.booleans(),
-        deadline_ns=st.sampled_from([0, 10**9, 6 * 10**9])),
-    min_size=1, max_size=5, unique_by=lambda c: c.name).map(tuple)
+        api.RequestClass,
+        name=st.text("abcxyz-", min_size=1, max_size=8),
+        effect=st.sampled_from(api.Effect),
+        group=st.sampled_from(["all", "zone", "cell"]),
+        uncacheable=st.booleans(),
+        in_parts=st.booleans(),
+        deadline_ns=st.sampled_from([0, 10**9, 6 * 10**9]),
+    ),
+    min_size=1,
+    max_size=5,
+    unique_by=lambda c: c.name,
+).map(tuple)
 limits = st.builds(
-    api.Limits, max_attempts=st.integers(1, 9), second_copies=st.booleans(), retry_after=st.booleans())
+    api.Limits, max_attempts=st.integers(1, 9), second_copies=st.booleans(), retry_after=st.booleans()
+)
 
 
 class RunLine(unittest.TestCase):
@@ -59,19 +68,23 @@
             self.assertEqual(file.routes[at].bounds.attempts, 1 if cls.effect is api.Effect.UNSAFE else None)
 
     def test_a_class_that_becomes_another_in_service_is_matched_anew(self) -> None:
-        file = load(b'kelpcroft version=1\nroute "once" { match effect="unsafe"; }\n'
-                    b'route "rest" { match; }\n')[0]
+        file = load(
+            b'kelpcroft version=1\nroute "once" { match effect="unsafe"; }\nroute "rest" { match; }\n'
+        )[0]
         index = Index(file.routes, "edge-1")
         page = HERE.classes[0]
-        found = [index.find(c, "0" * 16, 0, 0, False, False)
-                 for c in (page, replace(page, effect=api.Effect.UNSAFE), page)]
+        found = [
+            index.find(c, "0" * 16, 0, 0, False, False)
+            for c in (page, replace(page, effect=api.Effect.UNSAFE), page)
+        ]
         self.assertEqual(found, [1, 0, 1])
 
     def test_a_kind_that_no_class_here_is_waits_for_one(self) -> None:
         file = load(b'kelpcroft version=1\nroute "k" { match effect="keyed"; }\nroute "r" { match; }\n')[0]
         self.assertEqual(check(file, HERE), [])
-        named = load(b'kelpcroft version=1\nroute "k" { match class="page" effect="keyed"; }\n'
-                     b'route "r" { match; }\n')[0]
+        named = load(
+            b'kelpcroft version=1\nroute "k" { match class="page" effect="keyed"; }\nroute "r" { match; }\n'
+        )[0]
         self.assertEqual([f.code for f in check(named, HERE)], ["unreachable-route"])
 
 
@@ -96,8 +109,12 @@
             port = free.getsockname()[1]
         words = shlex.split(example[1])
         process = subprocess.Popen(
-            [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"], cwd=ROOT, text=True,
-            stderr=subprocess.PIPE, env={**os.environ, "ROUTER_LISTEN": f"127.0.0.1:{port}"})
+            [sys.executable, "-c", f"from kelpcroft.cli import main; main({words!r})"],
+            cwd=ROOT,
+            text=True,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "ROUTER_LISTEN": f"127.0.0.1:{port}"},
+        )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         assert process.stderr
@@ -195,10 +212,20 @@
                 self.assertIn(due, self.found(change))
 
     @QUICK
-    @given(st.recursive(
-        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
-        lambda x: st.lists(x, max_size=3) | st.dictionaries(st.sampled_from(
-            ["settings", "classes", "limits", "family_info", "dcs", "az", "name", "hub_of"]), x)))
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+            lambda x: (
+                st.lists(x, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(
+                        ["settings", "classes", "limits", "family_info", "dcs", "az", "name", "hub_of"]
+                    ),
+                    x,
+                )
+            ),
+        )
+    )
     def test_whatever_stands_there_it_does_not_crash(self, raw: object) -> None:
         deployment.check({"settings": raw} if not isinstance(raw, dict) else raw)
 
@@ -222,8 +249,11 @@
     def test_the_page_has_every_key(self) -> None:
         page = (ROOT / "docs/operators/sites.md").read_text()
         for key in deployment.known.KEYS:
-            self.assertIn(f"| `{key.path}` | {key.reader or 'nobody: ' + key.why} | "
-                          f"{key.absent or 'nothing changes'} |", page)
+            self.assertIn(
+                f"| `{key.path}` | {key.reader or 'nobody: ' + key.why} | "
+                f"{key.absent or 'nothing changes'} |",
+                page,
+            )
 
     def test_every_key_that_is_read_in_settings_is_known(self) -> None:
         source = (ROOT / "zincgrade/simhost.py").read_text()
@@ -241,13 +271,19 @@
                 json.dump(raw, file)
             told = CliRunner().invoke(main, ["check", "--config", path])
             self.assertEqual(told.exit_code, 1)
-            started = subprocess.run([sys.executable, "-m", "kelpcroft"], cwd=ROOT, capture_output=True,
-                                     text=True, env={**os.environ, "ROUTER_CONFIG": path}, timeout=20)
+            started = subprocess.run(
+                [sys.executable, "-m", "kelpcroft"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                env={**os.environ, "ROUTER_CONFIG": path},
+                timeout=20,
+            )
             self.assertEqual(started.returncode, 2)
             for key in ("settings.weight_source", "settings.limits.most_tries"):
                 self.assertIn(key, told.output)
                 self.assertIn(key, started.stderr)
-            del raw["feed"]                  # once filled in by the command, and refused by the start alone
+            del raw["feed"]  # once filled in by the command, and refused by the start alone
             with open(path, "w") as file:
                 json.dump(raw, file)
             told = CliRunner().invoke(main, ["check", "--config", path])
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -43,8 +43,13 @@
             path = Path(folder) / "config.json"
             path.write_bytes(orjson.dumps({**EXAMPLE, "listen": "127.0.0.1:9"}))
             run = subprocess.run(
-                ["sh", "-c", f"ulimit -n 63 && exec {sys.executable} -m kelpcroft"], cwd=ROOT, text=True,
-                env={**os.environ, "ROUTER_CONFIG": str(path)}, capture_output=True, timeout=WAIT_S)
+                ["sh", "-c", f"ulimit -n 63 && exec {sys.executable} -m kelpcroft"],
+                cwd=ROOT,
+                text=True,
+                env={**os.environ, "ROUTER_CONFIG": str(path)},
+                capture_output=True,
+                timeout=WAIT_S,
+            )
         self.assertEqual((run.returncode, run.stderr.count("\n")), (2, 1), run.stderr)
         self.assertIn("limits.sockets", run.stderr)
 
@@ -83,7 +88,7 @@
         t.until(lambda: t.loop.feed is None and not t.loop.undialled, "nobody listens")
         with t.no_descriptors():
             for _ in range(5):
-                t.turn(500 * MS, turns=3)        # called again and again, without a socket
+                t.turn(500 * MS, turns=3)  # called again and again, without a socket
         self.assertIsNone(t.loop.feed)
         host, port = t.loop.feed_at
         t.listeners["feed"] = back = socket.create_server((host, port))
@@ -96,7 +101,7 @@
         """It was ready in every turn: the loop spun, and wrote a line each time."""
         t = Turns(self)
         came = [t.client()]
-        came[0].send(call(1))                    # nobody rests, so nobody goes
+        came[0].send(call(1))  # nobody rests, so nobody goes
         t.until(lambda: t.loop.reducer.state.calls, "it is taken")
         waits = socket.create_connection(t.address, WAIT_S)
         self.addCleanup(waits.close)
--- a/tests/test_early_limits.py
+++ b/tests/test_early_limits.py
@@ -15,7 +15,7 @@
 from zincgrade.interface import Note, Outcome
 from zincgrade.policy import GATE_OPEN, TICK, WAIT_SHARE, Gate, Policy
 
-CACHES = 20.0                # transfers at full pace of the four caches of ``kit.servers``
+CACHES = 20.0  # transfers at full pace of the four caches of ``kit.servers``
 
 
 def burst(p: Policy, now: int, count: int, kb: float, name: str = "b") -> list[bool]:
@@ -27,7 +27,7 @@
     def test_told_weights_hold_before_anything_is_late(self) -> None:
         p = policy()
         sent = burst(p, S, 200, 400.0)
-        self.assertTrue(all(sent[:int(CACHES)]), "what fits is taken")
+        self.assertTrue(all(sent[: int(CACHES)]), "what fits is taken")
         self.assertLess(sum(sent), 5 * CACHES, "a jam of ten times what fits was taken whole")
 
     def test_small_ones_are_taken_where_large_ones_are_not(self) -> None:
@@ -65,8 +65,7 @@
                 burst(p, S, 60, 400.0)
                 for _ in range(50):
                     p.gates[True].link.told(S, link)
-                later = [f for n in range(20)
-                         for f in fetches(ask(p, S, f"l{n}", 5_000 + n, size_kb=400.0))]
+                later = [f for n in range(20) for f in fetches(ask(p, S, f"l{n}", 5_000 + n, size_kb=400.0))]
                 self.assertEqual(any(f.cache.startswith("p") for f in later), straight)
                 self.assertFalse(any(f.cache == "o" for f in later))
 
@@ -126,7 +125,7 @@
         for passed in (True, False):
             p = self.stuck(passed)
             for held in p.held.values():
-                held.fills = False         # copies of them were seen: they look like hits
+                held.fills = False  # copies of them were seen: they look like hits
             p.handle(S + 2_500 * MS, api.TimerDue(TICK))
             self.assertEqual(p.gates[False].cutoff < GATE_OPEN, not passed)
             self.assertEqual(p.gates[True].cutoff < GATE_OPEN, passed)
@@ -155,9 +154,13 @@
 
     def test_one_larger_than_the_budget_goes_alone(self) -> None:
         p = self.cold()
-        sent = [(now, f.cache) for now in range(100, 118) for n in range(20)
-                for f in fetches(ask(p, now * S + n * 50 * MS, f"{now}/{n}", 20 * now + n, size_kb=2_500.0))
-                if f.cache.startswith("c") and p.nodes[f.cache].share(p.now, p.s.rules) < 0.3]
+        sent = [
+            (now, f.cache)
+            for now in range(100, 118)
+            for n in range(20)
+            for f in fetches(ask(p, now * S + n * 50 * MS, f"{now}/{n}", 20 * now + n, size_kb=2_500.0))
+            if f.cache.startswith("c") and p.nodes[f.cache].share(p.now, p.s.rules) < 0.3
+        ]
         self.assertTrue(sent, "a cold zone that is asked for large ones only serves some")
         self.assertEqual(len(sent), len(set(sent)), "two of them in one second")
 
@@ -197,8 +200,19 @@
         for n in range(30):
             now = start + n * 20 * MS
             (f,) = fetches(ask(p, now, f"w{start}-{n}", 5_000 + n + start // S * 100, size_kb=100.0))
-            p.handle(now + MS, api.AttemptEnded(f.id, 0, f.cache, Outcome.OK, (wait_ms + 100) * MS, True,
-                                                Note.FILLED_FROM_ORIGIN, wait_ms * MS))
+            p.handle(
+                now + MS,
+                api.AttemptEnded(
+                    f.id,
+                    0,
+                    f.cache,
+                    Outcome.OK,
+                    (wait_ms + 100) * MS,
+                    True,
+                    Note.FILLED_FROM_ORIGIN,
+                    wait_ms * MS,
+                ),
+            )
 
     def looks(self, p: Policy, now: int) -> int:
         """How many of 20 large objects that nobody holds are only looked for."""
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,7 +13,7 @@
 from player import EXAMPLE, ROOT, WAIT_S, Player
 
 KEYED = {"idempotency": "keyed", "group": "all", "dedup_window_ns": 3 * 10**9}
-ONE = ("cache1", "parent", "origin")   # with one cache in the zone it is plain where a request goes
+ONE = ("cache1", "parent", "origin")  # with one cache in the zone it is plain where a request goes
 
 
 class Exchanges(unittest.TestCase):
@@ -92,8 +92,13 @@
             path = Path(folder) / "config.json"
             path.write_bytes(orjson.dumps(raw))
             done = subprocess.run(
-                [sys.executable, "-m", "kelpcroft"], cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S,
-                env={**os.environ, "ROUTER_CONFIG": str(path)})
+                [sys.executable, "-m", "kelpcroft"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=WAIT_S,
+                env={**os.environ, "ROUTER_CONFIG": str(path)},
+            )
         self.assertEqual(done.returncode, 2, done.stderr)
         self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
         self.assertIn(key, done.stderr)
@@ -101,10 +106,15 @@
     def test_bad_keys(self) -> None:
         settings = EXAMPLE["settings"]
         for key, changes in (
-                ("listen", {"listen": "nowhere"}), ("feed", {"feed": None}), ("seed", {"seed": "xyz"}),
-                ("limits.sockets", {"limits": {"sockets": "many"}}), ("known", {"known": {"n": 1}}),
-                ("settings", {"settings": None}), ("settings.az", {"settings": {**settings, "az": "moon"}}),
-                ("listen", {"listen": "192.0.2.1:9"})):
+            ("listen", {"listen": "nowhere"}),
+            ("feed", {"feed": None}),
+            ("seed", {"seed": "xyz"}),
+            ("limits.sockets", {"limits": {"sockets": "many"}}),
+            ("known", {"known": {"n": 1}}),
+            ("settings", {"settings": None}),
+            ("settings.az", {"settings": {**settings, "az": "moon"}}),
+            ("listen", {"listen": "192.0.2.1:9"}),
+        ):
             with self.subTest(key=key):
                 self.refused(key, **changes)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -73,7 +73,7 @@
         admitted.append(gate.admits(20.0))
     assert not any(admitted[:10])
     assert any(admitted[10:60])
-    gate.told(True, 99 * S, 99 * S)          # what hears of answers keeps to them
+    gate.told(True, 99 * S, 99 * S)  # what hears of answers keeps to them
     cutoff = gate.cutoff
     gate.arrives(20.0, 20.0, 99 * S + 500 * MS)
     assert gate.cutoff == cutoff
@@ -167,8 +167,12 @@
 def test_error_in_the_module_is_reported_on_the_wire() -> None:
     out = io.StringIO()
     options = {"az": "a", "dcs": ["a"], "classes": [{"name": "x"}], "limits": {"most_tries": 2}}
-    lines = [["Turn", 1, 1], ["Hello", 0, 5, options],
-             ["Ingress", 0, "id", 10, False, 0, False, 1, 0, 0, None, "unheard-of"], ["End"]]
+    lines = [
+        ["Turn", 1, 1],
+        ["Hello", 0, 5, options],
+        ["Ingress", 0, "id", 10, False, 0, False, 1, 0, 0, None, "unheard-of"],
+        ["End"],
+    ]
     Host(out).run(json.dumps(x) for x in lines)
     assert json.loads(out.getvalue().splitlines()[-2])[0] == "Exception"
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,8 +17,9 @@
 
 
 def fleet(lines: list[api.Server], apart: int = 1) -> list[Policy]:
-    return [policy(lines, instances=ROUTERS, zone_instances=ROUTERS, self_index=n * apart)
-            for n in range(ROUTERS)]
+    return [
+        policy(lines, instances=ROUTERS, zone_instances=ROUTERS, self_index=n * apart) for n in range(ROUTERS)
+    ]
 
 
 @pytest.mark.parametrize("apart", [1, 24])
@@ -35,7 +36,7 @@
                 sent[step] += f.source == "p0"
     assert sum(sent.values()) > 0
     for step in range(37):
-        low = 0.07 + 0.93 * step * 0.25 / 20          # its share at the start of this second
+        low = 0.07 + 0.93 * step * 0.25 / 20  # its share at the start of this second
         assert sum(sent[step + k] for k in range(4)) * unit <= 2.0 * low * weight
 
 
@@ -115,9 +116,8 @@
 def test_load_is_shed_as_soon_as_caches_go() -> None:
     """Answers are late only seconds after three of four caches drain; the told links tell at once."""
     p = policy()
-    assert offered(p, 10 * S, 40, 10) == 0             # 12 transfers' worth a second for links of 20
-    p.handle(20 * S, api.ServerList("update", tuple(
-        replace(x, state="terminating") for x in servers()[1:4])))
+    assert offered(p, 10 * S, 40, 10) == 0  # 12 transfers' worth a second for links of 20
+    p.handle(20 * S, api.ServerList("update", tuple(replace(x, state="terminating") for x in servers()[1:4])))
     assert 0.3 < offered(p, 20 * S, 40, 5) / 200 < 0.8  # 12 for links of 5
     p.handle(25 * S, api.ServerList("update", tuple(servers()[1:4])))
     assert offered(p, 26 * S, 40, 5) == 0
--- a/tests/test_fleet_counts.py
+++ b/tests/test_fleet_counts.py
@@ -34,7 +34,7 @@
         for n, line in enumerate(world.log):
             log.write(10**18 + n, line)
         with tempfile.TemporaryDirectory() as folder:
-            Path(folder, "n0.log").write_text("no event here\n0.001 " + text.getvalue() + "{\"half\": ")
+            Path(folder, "n0.log").write_text("no event here\n0.001 " + text.getvalue() + '{"half": ')
             out = count(folder)
         self.assertEqual(out.returncode, 0, out.stderr)
         self.assertIn("taken 20", out.stdout)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -22,9 +22,9 @@
 
     def served(self, t: Turns, client: Peer, cache: Peer, number: int) -> None:
         """Somebody else's request, as ever."""
-        client.send(call(number, trace=f"{0xbee0 + number:016x}"))
-        t.until(lambda: f"{0xbee0 + number:016x}" in cache.pulls(), "it is sent on")
-        cache.send(done(f"{0xbee0 + number:016x}"))
+        client.send(call(number, trace=f"{0xBEE0 + number:016x}"))
+        t.until(lambda: f"{0xBEE0 + number:016x}" in cache.pulls(), "it is sent on")
+        cache.send(done(f"{0xBEE0 + number:016x}"))
         t.until(lambda: [1, number, None, [b"by", {}]] in client.answers(), "it is answered")
 
     def test_a_byte_at_a_time(self) -> None:
--- a/tests/test_generated.py
+++ b/tests/test_generated.py
@@ -81,7 +81,8 @@
             ask = self.day.by_trace[trace]
             for at, answer in ask.finals:
                 if isinstance(answer, m.Decline) and any(
-                        x.at <= at and self.may_have_run(x, at) and x.life == ask.life for x in sends):
+                    x.at <= at and self.may_have_run(x, at) and x.life == ask.life for x in sends
+                ):
                     self.say("refused", f"{key} may have run")
 
     def drains(self, sent: Send) -> None:
@@ -102,7 +103,6 @@
                     if not 0 < sent.pull.age_limit_ms * MS <= sent.at - when:
                         self.say("purge", f"{call.trace} allows {sent.pull.age_limit_ms} ms")
 
-
     def cold(self, name: str, born: int) -> None:
         """A server that has started is sent no more than it can bear: in any span of ``fall_ns`` the sending
         times of what goes to it, or is filled from it, stay under what the rule names, one request above it
@@ -115,19 +115,25 @@
         multiple = f["parent_fall_multiple"] if parent else contract["fall_multiple"]
         fall = contract["fall_ns"]
         if low >= 1:
-            return                         # it is never cold
+            return  # it is never cold
         again = min((at for at, what, who in self.day.told if who == name and at > born), default=born + span)
-        here = [s for s in self.day.sends if born <= s.at < min(again, born + span)
-                and name in (s.server, s.pull.source)]
+        here = [
+            s
+            for s in self.day.sends
+            if born <= s.at < min(again, born + span) and name in (s.server, s.pull.source)
+        ]
         pace = f["pace_kb_per_s"]
         for n, sent in enumerate(here):
-            window = [s for s in here[:n + 1] if s.at > sent.at - fall]
+            window = [s for s in here[: n + 1] if s.at > sent.at - fall]
             work = [self.work(s, pace) for s in window]
             share = low + (1 - low) * (sent.at - born) / span
             room = multiple * share * e["weight"] * fall
             if sum(work) - max(work) > room:
-                self.say("cold", f"{name} is sent {sum(work) / S:.2f} s in {fall / S:.0f} s, "
-                         f"{(sent.at - born) / S:.2f} s after its start, where {room / S:.2f} s fit")
+                self.say(
+                    "cold",
+                    f"{name} is sent {sum(work) / S:.2f} s in {fall / S:.0f} s, "
+                    f"{(sent.at - born) / S:.2f} s after its start, where {room / S:.2f} s fit",
+                )
                 return
 
     def work(self, sent: Send, pace: float) -> float:
@@ -150,11 +156,13 @@
 
     def test_a_seed_replays_a_day(self) -> None:
         one, two = Day(5), Day(5)
-        self.assertEqual([(s.at, s.server, s.pull.id) for s in one.sends],
-                         [(s.at, s.server, s.pull.id) for s in two.sends])
+        self.assertEqual(
+            [(s.at, s.server, s.pull.id) for s in one.sends], [(s.at, s.server, s.pull.id) for s in two.sends]
+        )
 
     def test_the_watch_sees_what_is_broken(self) -> None:
         """Each rule broken in the record of a sound day is named."""
+
         def broken(change: str) -> set[str]:
             seen: set[str] = set()
             for seed in range(12):
@@ -179,7 +187,14 @@
                         ask.finals[0] = (ask.finals[0][0] + S, m.Decline(1, 1, 0))
                 seen |= {line.split(":")[0] for line in Watch(day).found}
             return seen
+
         self.assertLessEqual({"one out", "twice", "group"}, broken("again"))
-        for change, due in (("cold", "cold"), ("drain", "drain"), ("purge", "purge"), ("twice", "answered"),
-                            ("silent", "answered"), ("refused", "refused")):
+        for change, due in (
+            ("cold", "cold"),
+            ("drain", "drain"),
+            ("purge", "purge"),
+            ("twice", "answered"),
+            ("silent", "answered"),
+            ("refused", "refused"),
+        ):
             self.assertIn(due, broken(change), change)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -60,9 +60,9 @@
                 t.now += PACE_NS
             read.append(peer)
             serve(peer, events)
+
         t.loop.serve = slow  # type: ignore[method-assign]
-        (late,) = [s for s in t.loop.servers.values()
-                   if s.sock.getpeername() == mine.sock.getsockname()]
+        (late,) = [s for s in t.loop.servers.values() if s.sock.getpeername() == mine.sock.getsockname()]
         (early,) = [s for s in t.loop.servers.values() if s is not late]
         for cache in caches:
             for id in cache.pulls():
@@ -71,6 +71,7 @@
 
         def ordered(timeout: float | None = None) -> list:  # type: ignore[type-arg]
             return sorted(look(timeout), key=lambda found: found[0].data is late)
+
         t.selector.select = ordered  # type: ignore[method-assign]
         t.until(lambda: len(other.answers()) == 7, "the others are answered")
         self.assertIs(read[0], early)
@@ -100,11 +101,16 @@
                 client = t.client()
                 watch = t.loop.watch
 
-                def hide(peer: Ours, events: int, t: Turns = t,  # type: ignore[no-untyped-def]
-                         watch=watch) -> None:
+                def hide(
+                    peer: Ours,
+                    events: int,
+                    t: Turns = t,  # type: ignore[no-untyped-def]
+                    watch=watch,
+                ) -> None:
                     if isinstance(peer, ServerConnection):
                         t.selector.hidden.add(peer.sock)
                     watch(peer, events)
+
                 t.loop.watch = hide  # type: ignore[method-assign]
                 client.send(call(1))
                 cache = t.taken("cache1")
@@ -119,7 +125,7 @@
     def test_a_request_that_is_read_and_not_taken_can_be_cancelled(self) -> None:
         t = Turns(self)
         client, cache = self.asked(t)
-        t.tick_ns = 2 * CLIENTS_NS               # every look at the clock: nothing is taken in its turn
+        t.tick_ns = 2 * CLIENTS_NS  # every look at the clock: nothing is taken in its turn
         client.send(call(2))
         t.until(lambda: t.loop.untaken, "it is read")
         client.send(cancel(2))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -30,8 +30,13 @@
         good = orjson.loads(data)
         later = orjson.dumps({**good, "v": 3, "least": 1, "fields": ["not", "known"]})
         self.assertEqual(decode(later, "n3", NOW)[0], found)
-        for bad in ({"v": 3}, {"v": 3, "least": 2}, {"v": 3, "least": True}, {"v": True},
-                    {"v": 0, "least": 1}):
+        for bad in (
+            {"v": 3},
+            {"v": 3, "least": 2},
+            {"v": 3, "least": True},
+            {"v": True},
+            {"v": 0, "least": 1},
+        ):
             self.assertIsNone(decode(orjson.dumps({**good, **bad}), "n3", NOW)[0], bad)
         for ended in (-1, "1", True, good["written_ms"] + 1):
             self.assertIsNone(decode(orjson.dumps({**good, "ended_ms": ended}), "n3", NOW)[0], ended)
@@ -54,7 +59,9 @@
     def test_what_is_not_taken(self) -> None:
         good = orjson.loads(encode("n3", 4711, NOW, True, NOW))
         cases = [
-            (b"x" * (SIZE_MOST + 1), "is over"), (b"{", "is not JSON"), (b"[]", "is not a JSON object"),
+            (b"x" * (SIZE_MOST + 1), "is over"),
+            (b"{", "is not JSON"),
+            (b"[]", "is not a JSON object"),
             (orjson.dumps({**good, "v": 2}), "not a version known"),
             (orjson.dumps({**good, "name": "n4"}), "another router's"),
             (orjson.dumps({**good, "pid": "4711"}), "pid:"),
@@ -77,7 +84,7 @@
         self.assertEqual(only(m.Keep, r.handle(NOW, m.Control(1, m.Verb.OUT))), [m.Keep(False, NOW)])
         back = r.handle(NOW + SECOND, m.Control(2, m.Verb.IN))
         self.assertEqual(only(m.Keep, back), [m.Keep(True, NOW + SECOND)])
-        self.assertEqual(only(m.Keep, r.handle(NOW + SECOND, m.Control(3, m.Verb.IN))), [])   # no change
+        self.assertEqual(only(m.Keep, r.handle(NOW + SECOND, m.Control(3, m.Verb.IN))), [])  # no change
         fresh = router()
         effects = fresh.handle(NOW, m.Handover(False, NOW - SECOND))
         self.assertEqual(only(m.Release, effects), [m.Release(True)])
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -69,8 +69,22 @@
     """One request for an order; its story is under its trace id."""
     story = v.ask(when, "order", patience_ms)
     c = story.call
-    call = m.Call(c.client, c.call, c.cls, c.trace, c.patience_ns, c.object, c.part, c.object_number,
-                  c.part_number, c.group, retry, "", b"order", nonce=nonce)
+    call = m.Call(
+        c.client,
+        c.call,
+        c.cls,
+        c.trace,
+        c.patience_ns,
+        c.object,
+        c.part,
+        c.object_number,
+        c.part_number,
+        c.group,
+        retry,
+        "",
+        b"order",
+        nonce=nonce,
+    )
     for n, (at, made, message) in enumerate(v.heap):
         if message is c:
             v.heap[n] = (at, made, call)
@@ -101,8 +115,11 @@
                     if at > first[0]:
                         self.assertLess(at, first[0] + 1500 * MS, (group, seed))
                         mine, other = homes[first[1]], homes[server]
-                        self.assertEqual(mine if group == "cell" else mine[0],
-                                         other if group == "cell" else other[0], (group, seed))
+                        self.assertEqual(
+                            mine if group == "cell" else mine[0],
+                            other if group == "cell" else other[0],
+                            (group, seed),
+                        )
 
     def test_past_the_window_it_is_refused_or_fails_without_a_send(self) -> None:
         for group, due in (("all", m.Decline), ("zone", m.Break)):
@@ -173,8 +190,7 @@
         self.retuned(v, 10 * S, idempotency="keyed", dedup_window_ns=3 * S)
         early, late, keyed = order(v, 10_500 * MS, ""), order(v, 13 * S, ""), order(v, 10_500 * MS, "k")
         v.run(20 * S)
-        self.assertEqual([self.finals(v, c) for c in (early, late, keyed)],
-                         [[m.Serve], [m.Break], [m.Serve]])
+        self.assertEqual([self.finals(v, c) for c in (early, late, keyed)], [[m.Serve], [m.Break], [m.Serve]])
 
     def test_within_the_passage_it_runs_once_and_its_retry_after_it_is_bound(self) -> None:
         v = world("zone", {"silent": 1.0}, window=S)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,9 +30,22 @@
             sample, path = Path(folder) / "test_sample.py", Path(folder) / "list.txt"
             sample.write_text(SAMPLE)
             path.write_text(listed.replace("SAMPLE", str(sample.relative_to(ROOT))))
-            done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider",
-                                   f"--known-red={path}", str(sample)], cwd=ROOT, capture_output=True,
-                                  text=True, timeout=3 * WAIT_S)
+            done = subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "pytest",
+                    "-q",
+                    "-p",
+                    "no:cacheprovider",
+                    f"--known-red={path}",
+                    str(sample),
+                ],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=3 * WAIT_S,
+            )
         return done.returncode, done.stdout + done.stderr
 
     def test_a_listed_failure_is_printed_and_passes(self) -> None:
@@ -51,11 +64,13 @@
         self.assertIn("take it out of KNOWN-RED.txt", said)
 
     def test_what_cannot_be_used_fails_the_run(self) -> None:
-        for line, why in (("test_red", "is not 'tests/"),
-                          ("SAMPLE::Sample::test_red | | 27", "is not 'tests/"),
-                          ("SAMPLE::Sample::test_red | why | soon", "is not 'tests/"),
-                          ("SAMPLE::Sample::test_gone | why | 27", "no such test"),
-                          ("tests/test_gone.txt.py::test_x | why | 27", "no such test")):
+        for line, why in (
+            ("test_red", "is not 'tests/"),
+            ("SAMPLE::Sample::test_red | | 27", "is not 'tests/"),
+            ("SAMPLE::Sample::test_red | why | soon", "is not 'tests/"),
+            ("SAMPLE::Sample::test_gone | why | 27", "no such test"),
+            ("tests/test_gone.txt.py::test_x | why | 27", "no such test"),
+        ):
             with self.subTest(line=line):
                 code, said = self.run_with(line + "\n")
                 self.assertEqual(code, 4, said)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -16,11 +16,19 @@
 from zincgrade.policy import Policy
 
 
-def answer(p: Policy, now: int, f: api.Fetch, note: Note, link: float, outcome: Outcome = Outcome.OK,
-           took: int = 100 * MS) -> list[api.Action]:
+def answer(
+    p: Policy,
+    now: int,
+    f: api.Fetch,
+    note: Note,
+    link: float,
+    outcome: Outcome = Outcome.OK,
+    took: int = 100 * MS,
+) -> list[api.Action]:
     """An attempt's end with a report of how full the location's link is."""
-    return p.handle(now, api.AttemptEnded(f.id, 0, f.cache, outcome, took, outcome is Outcome.OK, note, 0,
-                                          {"x1": link}))
+    return p.handle(
+        now, api.AttemptEnded(f.id, 0, f.cache, outcome, took, outcome is Outcome.OK, note, 0, {"x1": link})
+    )
 
 
 def warmed(**changes: object) -> Policy:
@@ -70,7 +78,7 @@
 
         lines = [x for x in EVEN if x.name != "p1"]
         fleet = Fleet([policy(lines, **THIN, self_index=n) for n in range(40)], reply)
-        for n in range(40):                # writes run at the origin, which is how its time is known
+        for n in range(40):  # writes run at the origin, which is how its time is known
             for k in range(5):
                 fleet.at(S + k * 100 * MS, n, api.Request(f"w{n}-{k}", "unsafe", 3 * S, k, write=True))
         fleet.ask(2 * S, 14 * S, 250 * MS, random)
@@ -90,9 +98,19 @@
         for n in range(60):
             (f,) = fetches(ask(p, S + n * 100 * MS, f"r{n}", n))
             broke = f.source == "p0" and n % 2 == 0
-            p.handle(S + n * 100 * MS + 30 * MS, api.AttemptEnded(
-                f.id, 0, f.cache, Outcome.ERROR if broke else Outcome.OK, 30 * MS, not broke,
-                Note.SOURCE_BROKE if broke else Note.FILLED, 20 * MS))
+            p.handle(
+                S + n * 100 * MS + 30 * MS,
+                api.AttemptEnded(
+                    f.id,
+                    0,
+                    f.cache,
+                    Outcome.ERROR if broke else Outcome.OK,
+                    30 * MS,
+                    not broke,
+                    Note.SOURCE_BROKE if broke else Note.FILLED,
+                    20 * MS,
+                ),
+            )
         self.assertFalse(p.nodes["p0"].health.dead)
         now = {f.source for n in range(40) for f in fetches(ask(p, 7 * S, f"now{n}", 1000 + n))}
         self.assertEqual(now, {"p1"})
@@ -153,8 +171,13 @@
             return took, Outcome.OK, Note.FILLED, {"utilization": busy, "x0": 0.01, "x1": 0.5}
 
         lines = [replace(x, started_ns=start) if told and x.role is api.Role.CACHE else x for x in EVEN]
-        fleet = Fleet([policy(lines, **THIN, **COLD, direct=True, self_index=n, zone_instances=self.ROUTERS)
-                       for n in range(self.ROUTERS)], reply)
+        fleet = Fleet(
+            [
+                policy(lines, **THIN, **COLD, direct=True, self_index=n, zone_instances=self.ROUTERS)
+                for n in range(self.ROUTERS)
+            ],
+            reply,
+        )
         fleet.ask(start, start + 20 * S, 100 * MS, random)
         fleet.run(start + 24 * S)
         return fleet, start
@@ -223,12 +246,18 @@
     def test_reports_that_make_no_sense_change_nothing(self) -> None:
         p = warmed()
         nan, inf = float("nan"), float("inf")
-        odd = ({"x0": 0.5}, {"utilization": nan, "x1": nan}, {"utilization": inf, "x1": inf, "x0": nan},
-               {"utilization": -1.0, "x1": -9.0})
+        odd = (
+            {"x0": 0.5},
+            {"utilization": nan, "x1": nan},
+            {"utilization": inf, "x1": inf, "x0": nan},
+            {"utilization": -1.0, "x1": -9.0},
+        )
         for n, report in enumerate(({"utilization": 0.5, "x1": 0.4}, *odd)):
             (f,) = fetches(ask(p, 3 * S + n * 100 * MS, f"odd{n}", 1000))
-            p.handle(3 * S + n * 100 * MS + MS, api.AttemptEnded(f.id, 0, f.cache, Outcome.OK, MS, True,
-                                                                 Note.HIT, 0, report))
+            p.handle(
+                3 * S + n * 100 * MS + MS,
+                api.AttemptEnded(f.id, 0, f.cache, Outcome.OK, MS, True, Note.HIT, 0, report),
+            )
         node = p.nodes[f.cache]
         self.assertEqual((node.busy, p.gates[True].link.value), (0.5, 0.4))
         self.assertLess(node.load.mean, 1.0)
@@ -256,8 +285,12 @@
         p = warmed()
         (f,) = fetches(ask(p, 3 * S, "last", 1))
         answer(p, 3 * S + 100 * MS, f, Note.FILLED, 12.0)
-        p.handle(3 * S + 110 * MS, api.ServerList("update", tuple(
-            replace(x, started_ns=3 * S) for x in servers() if x.name in ("c0", "c1"))))
+        p.handle(
+            3 * S + 110 * MS,
+            api.ServerList(
+                "update", tuple(replace(x, started_ns=3 * S) for x in servers() if x.name in ("c0", "c1"))
+            ),
+        )
         asked = {f.cache for n in range(40) for f in fetches(ask(p, 3200 * MS, f"l{n}", 2 + n))}
         self.assertEqual(asked, {"c2", "c3"})
 
@@ -285,7 +318,9 @@
         ({"members": {"endpoints": [{"name": "c9"}]}}, "status"),
         ({"members": {"endpoints": [{**LINE, "zone": "elsewhere"}]}}, "zone"),
         ({"members": {"endpoints": [{**LINE, "zone": EXAMPLE["settings"]["az"], "type": "oven"}]}}, "type"),
-        ({"members": 7}, "event 2"), ({"purge": {"key": "no hex", "at": 1}}, "event 2"), (7, "event None"),
+        ({"members": 7}, "event 2"),
+        ({"purge": {"key": "no hex", "at": 1}}, "event 2"),
+        (7, "event None"),
     )
 
     def test_a_bad_event_is_named_and_those_behind_it_are_heard(self) -> None:
--- a/tests/test_link_ends.py
+++ b/tests/test_link_ends.py
@@ -87,7 +87,7 @@
         t.loop.send(ours.number, [b"x" * 2_000_000], "a")
         t.loop.send(ours.number, [b"x" * 2_000_000], "b")
         t.turn()
-        ours.backlog.sent = sent + 2_000_000     # as if just the first had been taken
+        ours.backlog.sent = sent + 2_000_000  # as if just the first had been taken
         t.loop.write(ours)
         self.assertEqual([id for _, id in ours.pulls], ["b"])
 
@@ -155,8 +155,12 @@
 
     def test_a_copy_that_no_server_named_is_not_called_current(self) -> None:
         """KEEP for a copy that the client did not name, or for another one, was passed on."""
-        for cached, named in ((None, "4be0c1927d55a6f3"), ("4be0c1927d55a6f3", "00000000000000aa"),
-                              ("4be0c1927d55a6f3", None), ("4be0c1927d55a6f3", "4be0c1927d55a6f3")):
+        for cached, named in (
+            (None, "4be0c1927d55a6f3"),
+            ("4be0c1927d55a6f3", "00000000000000aa"),
+            ("4be0c1927d55a6f3", None),
+            ("4be0c1927d55a6f3", "4be0c1927d55a6f3"),
+        ):
             with self.subTest(cached=cached, named=named):
                 t = Turns(self)
                 client = t.client()
@@ -166,7 +170,11 @@
                 fields = f"sum={named},t0=1764576000123,tell=mem".encode() if named else b"tell=mem"
                 cache.send(done(cache.pulls()[0], b"", b"KEEP", fields))
                 good = cached is not None and cached == named
-                t.until(lambda t=t: not t.loop.reducer.state.attempts or t.loop.reducer.state.tally[
-                    "copies not named"], "it is judged")
+                t.until(
+                    lambda t=t: (
+                        not t.loop.reducer.state.attempts or t.loop.reducer.state.tally["copies not named"]
+                    ),
+                    "it is judged",
+                )
                 t.turn(turns=3)
                 self.assertEqual(client.answers() == [[1, 1, None, [b"", {"keep": "1"}]]], good)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -36,13 +36,17 @@
         idle = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         for sock in (udp, idle):
             self.addCleanup(sock.close)
-        for fd, why in ((read, "Socket operation on non-socket"), (udp.fileno(), "is not of TCP"),
-                        (idle.fileno(), "does not listen"), (999, "Bad file descriptor")):
+        for fd, why in (
+            (read, "Socket operation on non-socket"),
+            (udp.fileno(), "is not of TCP"),
+            (idle.fileno(), "does not listen"),
+            (999, "Bad file descriptor"),
+        ):
             with self.subTest(why=why), self.assertRaises(ConfigError) as caught:
                 adopt(fd)
             self.assertIn("ROUTER_FD", str(caught.exception))
             self.assertIn(why, str(caught.exception))
-        os.fstat(read)                          # still open: the descriptor was not ours to close
+        os.fstat(read)  # still open: the descriptor was not ours to close
         self.assertEqual(idle.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE), socket.SOCK_STREAM)
 
     def test_an_address_in_use_is_named(self) -> None:
@@ -68,9 +72,14 @@
             path = Path(folder) / "config.json"
             path.write_bytes(orjson.dumps(EXAMPLE))
             done = subprocess.run(
-                [sys.executable, "-m", "kelpcroft"], cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S,
+                [sys.executable, "-m", "kelpcroft"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=WAIT_S,
                 pass_fds=(idle.fileno(),),
-                env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_FD": str(idle.fileno())})
+                env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_FD": str(idle.fileno())},
+            )
         self.assertEqual(done.returncode, 2, done.stderr)
         self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
         self.assertIn("ROUTER_FD: descriptor", done.stderr)
--- a/tests/test_operator_faulty.py
+++ b/tests/test_operator_faulty.py
@@ -21,8 +21,10 @@
 
 HERE = Path(__file__).parent
 HEAD = "kelpcroft version=1\n"
-LISTS = (f'route "r" {{ match part="{",".join(map(str, range(0, 9_999, 2)))}" '
-         f'object="{",".join(f"{n:04x}" for n in range(0, 65_536, 2))}"; }}')  # it took minutes
+LISTS = (
+    f'route "r" {{ match part="{",".join(map(str, range(0, 9_999, 2)))}" '
+    f'object="{",".join(f"{n:04x}" for n in range(0, 65_536, 2))}"; }}'
+)  # it took minutes
 
 
 def judged(data: bytes, settings: api.Settings) -> tuple[File, list[Fault]]:
--- a/tests/test_operator_properties.py
+++ b/tests/test_operator_properties.py
@@ -29,7 +29,7 @@
 MS = 1_000_000
 QUICK = settings(max_examples=60, deadline=None, derandomize=True)
 times = st.integers(1, 5_000).map(lambda n: n * MS)
-names = st.text("abc é\"\\{}/;", min_size=1, max_size=6).map(str.strip).filter(bool)
+names = st.text('abc é"\\{}/;', min_size=1, max_size=6).map(str.strip).filter(bool)
 
 
 def maybe(strategy: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
@@ -42,22 +42,38 @@
 
 
 matches = st.builds(
-    Match, classes=st.lists(st.sampled_from(["page", "order"]), max_size=2).map(tuple), groups=ranges(255),
+    Match,
+    classes=st.lists(st.sampled_from(["page", "order"]), max_size=2).map(tuple),
+    groups=ranges(255),
     objects=st.lists(st.text("0123456789abcdef", min_size=1, max_size=16), max_size=3).map(tuple),
-    parts=ranges(9_999), zones=st.just(()), retry=maybe(st.booleans()), write=maybe(st.booleans()),
-    effects=st.lists(st.sampled_from(EFFECTS), max_size=2).map(tuple), through=maybe(st.booleans()),
-    multipart=maybe(st.booleans()))
-quantiles = st.builds(Moment, quantile=st.sampled_from([0.5, 0.95, 0.99, 0.999]),
-                      least_ns=st.integers(0, 9).map(lambda n: n * MS))
+    parts=ranges(9_999),
+    zones=st.just(()),
+    retry=maybe(st.booleans()),
+    write=maybe(st.booleans()),
+    effects=st.lists(st.sampled_from(EFFECTS), max_size=2).map(tuple),
+    through=maybe(st.booleans()),
+    multipart=maybe(st.booleans()),
+)
+quantiles = st.builds(
+    Moment,
+    quantile=st.sampled_from([0.5, 0.95, 0.99, 0.999]),
+    least_ns=st.integers(0, 9).map(lambda n: n * MS),
+)
 bounds = st.builds(
-    Bounds, timeout=maybe(st.builds(Wait, ns=st.integers(10_000, 20_000).map(lambda n: n * MS))),
+    Bounds,
+    timeout=maybe(st.builds(Wait, ns=st.integers(10_000, 20_000).map(lambda n: n * MS))),
     attempt=maybe(st.builds(Moment, ns=st.integers(9_000, 9_900).map(lambda n: n * MS)) | quantiles),
-    attempts=maybe(st.integers(1, 9)), on=maybe(st.frozensets(st.sampled_from(OUTCOMES), min_size=1)),
-    budget=maybe(st.just("b")), moves=maybe(st.integers(0, 9)),
+    attempts=maybe(st.integers(1, 9)),
+    on=maybe(st.frozensets(st.sampled_from(OUTCOMES), min_size=1)),
+    budget=maybe(st.just("b")),
+    moves=maybe(st.integers(0, 9)),
     backoff=maybe(st.builds(Backoff, st.just(MS), st.integers(1, 90).map(lambda n: n * MS), st.booleans())),
-    copies=maybe(st.builds(Copies, st.integers(1, 3), st.builds(Moment, ns=times) | quantiles,
-                           maybe(st.just("b")))),
-    open=maybe(st.integers(1, 999)), pause_ns=maybe(times))
+    copies=maybe(
+        st.builds(Copies, st.integers(1, 3), st.builds(Moment, ns=times) | quantiles, maybe(st.just("b")))
+    ),
+    open=maybe(st.integers(1, 999)),
+    pause_ns=maybe(times),
+)
 
 
 @st.composite
@@ -75,6 +91,7 @@
 
 def written(file: File, gap: str, end: str) -> str:
     """A file as an operator may write it, with a filler between words and one between nodes."""
+
     def moment(m: Moment, key: str) -> str:
         if m.ns:
             return f'{key}{"" if "/-" in gap else gap}="{m.ns // MS}ms"'
@@ -86,15 +103,25 @@
     def listed(key: str, values: Any) -> str:
         words = ",".join(v if isinstance(v, str) else f"{v[0]}..{v[1]}" for v in values)
         return f'{gap}{key}="{words}"' if words else ""
+
     text = f"kelpcroft{gap}version=1{end}"
     for b in file.budgets:
         text += f'budget "{b.name}"{gap}ratio={b.ratio}{gap}least="{b.least_per_s}/s" burst={b.burst}{end}'
     for r in file.routes:
         m, b = r.match, r.bounds
-        text += (f"route {quoted(r.name)}{gap}{{{end}match" + listed("class", m.classes)
-                 + listed("group", m.groups) + listed("object", m.objects) + listed("part", m.parts)
-                 + flag("retry", m.retry) + flag("write", m.write) + listed("effect", m.effects)
-                 + flag("through", m.through) + flag("multipart", m.multipart) + end)
+        text += (
+            f"route {quoted(r.name)}{gap}{{{end}match"
+            + listed("class", m.classes)
+            + listed("group", m.groups)
+            + listed("object", m.objects)
+            + listed("part", m.parts)
+            + flag("retry", m.retry)
+            + flag("write", m.write)
+            + listed("effect", m.effects)
+            + flag("through", m.through)
+            + flag("multipart", m.multipart)
+            + end
+        )
         if b.timeout:
             text += f'timeout{gap}"{b.timeout.ns // MS}ms"{end}'
         if b.attempt:
@@ -105,8 +132,10 @@
         if b.moves is not None:
             text += f"moves{gap}most={b.moves}{end}"
         if b.backoff:
-            text += (f'backoff first="{b.backoff.first_ns // MS}ms"{gap}most="{b.backoff.most_ns // MS}ms"'
-                     f'{gap}jitter="{"full" if b.backoff.jitter else "none"}"{end}')
+            text += (
+                f'backoff first="{b.backoff.first_ns // MS}ms"{gap}most="{b.backoff.most_ns // MS}ms"'
+                f'{gap}jitter="{"full" if b.backoff.jitter else "none"}"{end}'
+            )
         if b.copies:
             text += f"copies most={b.copies.most}{gap}{moment(b.copies.after, 'after')}"
             text += (f'{gap}budget="{b.copies.budget}"' if b.copies.budget else "") + end
@@ -118,9 +147,10 @@
     return text
 
 
-GAPS = st.sampled_from([
-    " ", "\t ", " /* a /* nested */ } */ ", " \\\n  ", " \\ // more\n ", " /-7 ", "\u3000"])
-ENDS = st.sampled_from(["\n", ";", "\r\n", " // said { so }\n", "\n\n/- route \"x\" { match; }\n", "\u2028"])
+GAPS = st.sampled_from(
+    [" ", "\t ", " /* a /* nested */ } */ ", " \\\n  ", " \\ // more\n ", " /-7 ", "\u3000"]
+)
+ENDS = st.sampled_from(["\n", ";", "\r\n", " // said { so }\n", '\n\n/- route "x" { match; }\n', "\u2028"])
 
 
 class Properties(unittest.TestCase):
@@ -129,8 +159,9 @@
     def test_a_file_reads_back_as_it_was_meant(self, file: File, gap: str, end: str) -> None:
         text = written(file, gap, end)
         read, faults = load(text.encode())
-        wrong = [f for f in faults if f.code not in (
-            "copy-after-attempt", "attempt-over-route", "too-complex")]
+        wrong = [
+            f for f in faults if f.code not in ("copy-after-attempt", "attempt-over-route", "too-complex")
+        ]
         self.assertEqual(wrong, [], text)
         self.assertEqual(read, file, text)
 
@@ -141,31 +172,64 @@
         starts = Source(text).starts
         for item in tree(text.encode(), Faults()):
             place = Source(text).place(item.place)
-            self.assertTrue(text[starts[place.line - 1] + place.column - 1:].startswith(item.name))
+            self.assertTrue(text[starts[place.line - 1] + place.column - 1 :].startswith(item.name))
             for child in item.children:
-                self.assertTrue(text[child.place:].startswith(child.name))
+                self.assertTrue(text[child.place :].startswith(child.name))
                 for key, prop in child.props.items():
-                    self.assertTrue(text[prop.key_place:].startswith(key))
+                    self.assertTrue(text[prop.key_place :].startswith(key))
                     value = prop.value
-                    word = (f'"{value}"' if isinstance(value, str) else f"#{str(value).lower()}"
-                            if isinstance(value, bool) else str(value))
-                    self.assertTrue(text[prop.place:].startswith(word), word)
+                    word = (
+                        f'"{value}"'
+                        if isinstance(value, str)
+                        else f"#{str(value).lower()}"
+                        if isinstance(value, bool)
+                        else str(value)
+                    )
+                    self.assertTrue(text[prop.place :].startswith(word), word)
 
     @QUICK
-    @given(files(), st.lists(st.tuples(st.integers(0, 10**6), st.sampled_from([
-        b"", b"{", b"}", b'"', b"\xff", b"\\", b"/-", b"/*", b"(", b"=", b"\x00", b"#inf", b"99e99",
-        b'"""', b"#\"", b"\xef\xbb\xbf"]), st.integers(0, 9)), min_size=1, max_size=5))
+    @given(
+        files(),
+        st.lists(
+            st.tuples(
+                st.integers(0, 10**6),
+                st.sampled_from(
+                    [
+                        b"",
+                        b"{",
+                        b"}",
+                        b'"',
+                        b"\xff",
+                        b"\\",
+                        b"/-",
+                        b"/*",
+                        b"(",
+                        b"=",
+                        b"\x00",
+                        b"#inf",
+                        b"99e99",
+                        b'"""',
+                        b'#"',
+                        b"\xef\xbb\xbf",
+                    ]
+                ),
+                st.integers(0, 9),
+            ),
+            min_size=1,
+            max_size=5,
+        ),
+    )
     def test_a_broken_file_never_crashes(self, file: File, cuts: list[tuple[int, bytes, int]]) -> None:
         data = written(file, " ", "\n").encode()
         for at, put, gone in cuts:
             at %= len(data) + 1
-            data = data[:at] + put + data[at + gone:]
+            data = data[:at] + put + data[at + gone :]
         _, faults = load(data)
         for fault in faults:
             self.assertGreaterEqual(fault.place, (1, 1))
 
     @QUICK
-    @given(st.text("a\"#\\/*-{}();= \n1", max_size=40))
+    @given(st.text('a"#\\/*-{}();= \n1', max_size=40))
     def test_what_the_parser_takes_the_locator_finds(self, text: str) -> None:
         """Nothing that ckdl reads may be lost, or be read as something else, for want of its place."""
         try:
@@ -175,7 +239,7 @@
         try:
             spots = list(Locator(text).run())
         except NotKdl:
-            return                           # refused whole: stricter than the parser does no harm
+            return  # refused whole: stricter than the parser does no harm
         self.assertEqual(len(spots), len(nodes), text)
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -54,9 +54,20 @@
     def test_bad_requests_are_not_sent_on(self) -> None:
         """Servers answer them with errors or close, which told against servers and others' requests."""
         good = {"trace": TRACE, "patience": "900", "entity": TRACE, "block": "0", "family": "17"}
-        bad = [{**good, key: value} for key, value in (
-            ("trace", "ab"), ("entity", TRACE.upper()), ("entity", 7), ("patience", "0"), ("patience", "-5"),
-            ("patience", "nan"), ("block", "99999999"), ("family", "256"), ("cached", "a=b"))]
+        bad = [
+            {**good, key: value}
+            for key, value in (
+                ("trace", "ab"),
+                ("entity", TRACE.upper()),
+                ("entity", 7),
+                ("patience", "0"),
+                ("patience", "-5"),
+                ("patience", "nan"),
+                ("block", "99999999"),
+                ("family", "256"),
+                ("cached", "a=b"),
+            )
+        ]
         bodies = [[0, 1, "page", [good, b"x" * 48_001]]]
         for message in [[0, 1, "page", [fields, b""]] for fields in bad] + bodies:
             with self.subTest(message=str(message)[:200]), self.assertRaises(FrontError):
@@ -89,7 +100,11 @@
         self.addCleanup(loop.selector.close)
         loop.reducer.start(NOW)
         for number, said, age in (
-                (1, False, SILENT_NS), (2, True, IDLE_NS), (3, True, SILENT_NS), (4, True, 0)):
+            (1, False, SILENT_NS),
+            (2, True, IDLE_NS),
+            (3, True, SILENT_NS),
+            (4, True, 0),
+        ):
             client = ClientConnection(number, socket.socket(), loop.pool, NOW - age - MS)
             loop.clients[number] = client
             client.said = said
@@ -119,7 +134,7 @@
             self.addCleanup(peer.sock.close)
         loop.take_requests([(peer, 1) for peer in peers], NOW - 5)
         self.assertTrue(0 < len(served) < 6)
-        self.assertTrue(all(p.ready_ns == NOW - 5 for p in peers[len(served):]))
+        self.assertTrue(all(p.ready_ns == NOW - 5 for p in peers[len(served) :]))
 
     def test_waits_for_a_connection_are_chosen_anew_on_a_purge(self) -> None:
         """An attempt without an age limit must not be sent up to a dial's time after the purge was told."""
@@ -188,8 +203,9 @@
         352 of 3,533 attempts in one router, and half of all requests in time."""
         for answers in (True, False):
             r = router()
-            r.state.settings = replace(r.state.settings, limits=replace(r.state.settings.limits,
-                                                                        may_probe=True))
+            r.state.settings = replace(
+                r.state.settings, limits=replace(r.state.settings.limits, may_probe=True)
+            )
             (dial,) = only(m.Dial, r.handle(NOW, call(1, patience=4_900)))
             (wake,) = [e for e in r.handle(NOW, m.LinkUp(dial.link)) if isinstance(e, m.Wake)]
             self.assertEqual(wake.at_ns, NOW + r.attempts.quiet_ns() // 2)
@@ -205,7 +221,7 @@
             effects = r.handle(due, m.Due(wake.key))
             self.assertEqual(bool(only(m.Drop, effects)), not answers)
             self.assertEqual(len(r.state.attempts), 4, "what was out is out, or goes out anew")
-            if answers:                    # and again where nothing comes for as long after the answer
+            if answers:  # and again where nothing comes for as long after the answer
                 due = wake.at_ns + MS + r.attempts.quiet_ns()
                 (check,) = only(m.Check, r.handle(due, m.Due(wake.key)))
                 self.assertTrue(only(m.Drop, r.handle(due + 200 * MS, m.Due(wake.key))))
@@ -250,17 +266,26 @@
 
     def test_answers_in_any_pieces(self) -> None:
         """mypyc once took the codec's body for absent for good; each cut of the bytes gives the same."""
-        data = (b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$8\r\ntell=old\r\n$5\r\nby\r\nt\r\n"
-                b"*4\r\n$1\r\nb\r\n$4\r\nLACK\r\n$1\r\n-\r\n$0\r\n\r\n")
+        data = (
+            b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$8\r\ntell=old\r\n$5\r\nby\r\nt\r\n"
+            b"*4\r\n$1\r\nb\r\n$4\r\nLACK\r\n$1\r\n-\r\n$0\r\n\r\n"
+        )
         for cut in range(len(data)):
             codec = ShelfCodec(1)
             found = codec.feed(memoryview(data)[:cut]) + codec.feed(memoryview(data)[cut:])
-            self.assertEqual([(a.id, a.outcome, a.note, bytes(a.body)) for a in found], [
-                ("a", Outcome.OK, Note.STALE, b"by\r\nt"), ("b", Outcome.MISS, Note.NONE, b"")])
+            self.assertEqual(
+                [(a.id, a.outcome, a.note, bytes(a.body)) for a in found],
+                [("a", Outcome.OK, Note.STALE, b"by\r\nt"), ("b", Outcome.MISS, Note.NONE, b"")],
+            )
 
     def test_what_is_no_answer(self) -> None:
-        for bad in (b"*900000000\r\n", b"+OK\r\n", b"*4\r\n$2\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$0\r\n\r\n",
-                    b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$999999\r\n", b"*4\r\n$" + b"1" * 5_000):
+        for bad in (
+            b"*900000000\r\n",
+            b"+OK\r\n",
+            b"*4\r\n$2\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$0\r\n\r\n",
+            b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$999999\r\n",
+            b"*4\r\n$" + b"1" * 5_000,
+        ):
             with self.subTest(bad=bad[:40]):
                 codec = ShelfCodec(1)
                 found = codec.feed(memoryview(GOOD + bad))
--- a/tests/test_purge_floors.py
+++ b/tests/test_purge_floors.py
@@ -14,10 +14,17 @@
 objects = st.sampled_from([0, 1, 0x7F << 56, (0x7F << 56) + 5, (1 << 64) - 1])
 parts = st.integers(0, 12)
 spans = st.tuples(parts, parts).map(lambda p: (min(p), max(p))) | st.just((0, 9_999)) | st.just((5, 9_999))
-whats = (st.builds(What, object=objects) | st.builds(What, group=st.integers(0, 2))
-         | st.builds(What, tag=st.sampled_from(["nut", "egg"]))
-         | st.builds(What, cls=st.sampled_from([None, "page", "clip"]), parts=spans,
-                     prefix=st.sampled_from(["", "0", "7f", "7f00", "f" * 16])))
+whats = (
+    st.builds(What, object=objects)
+    | st.builds(What, group=st.integers(0, 2))
+    | st.builds(What, tag=st.sampled_from(["nut", "egg"]))
+    | st.builds(
+        What,
+        cls=st.sampled_from([None, "page", "clip"]),
+        parts=spans,
+        prefix=st.sampled_from(["", "0", "7f", "7f00", "f" * 16]),
+    )
+)
 stamps = st.builds(Stamp, st.integers(1, 40), st.integers(0, 1), st.integers(0, 2))
 purges = st.lists(st.tuples(stamps, whats), max_size=25)
 asked = st.tuples(st.sampled_from(["page", "clip"]), objects, parts, st.integers(0, 3))
@@ -32,17 +39,24 @@
         return what.group == group
     if what.tag is not None:
         return what.tag in tags.get((item, part), {what.tag})
-    return (what.cls in (None, cls) and f"{item:016x}".startswith(what.prefix)
-            and what.parts[0] <= part <= what.parts[1])
+    return (
+        what.cls in (None, cls)
+        and f"{item:016x}".startswith(what.prefix)
+        and what.parts[0] <= part <= what.parts[1]
+    )
 
 
 class Meaning(unittest.TestCase):
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(purges, bearing, st.lists(asked, min_size=1, max_size=8), st.integers(0, 10**6), stamps)
-    def test_newest_that_touches_in_any_order(self, made: list[tuple[Stamp, What]],
-                                              tags: dict[tuple[int, int], frozenset[str]],
-                                              many: list[tuple[str, int, int, int]], seed: int,
-                                              horizon: Stamp) -> None:
+    def test_newest_that_touches_in_any_order(
+        self,
+        made: list[tuple[Stamp, What]],
+        tags: dict[tuple[int, int], frozenset[str]],
+        many: list[tuple[str, int, int, int]],
+        seed: int,
+        horizon: Stamp,
+    ) -> None:
         """Once, twice, shuffled: the same floors; and after forgetting, those of what is left."""
         shuffled = made + made[::2]
         Random(seed).shuffle(shuffled)
@@ -77,8 +91,15 @@
     def test_all_is_given_back(self) -> None:
         floors = Floors()
         for n in range(300):
-            floors.add(Stamp(n + 1, 0, 0), (What(object=n), What(group=n % 7), What(tag=str(n)),
-                                            What(prefix=f"{n:04x}", parts=(n, n + 3)))[n % 4])
+            floors.add(
+                Stamp(n + 1, 0, 0),
+                (
+                    What(object=n),
+                    What(group=n % 7),
+                    What(tag=str(n)),
+                    What(prefix=f"{n:04x}", parts=(n, n + 3)),
+                )[n % 4],
+            )
         floors.forget(Stamp(10_000, 0, 0))
         self.assertEqual((floors.objects, floors.groups, floors.tags, floors.patterns), ({}, {}, {}, {}))
 
--- a/tests/test_purge_order.py
+++ b/tests/test_purge_order.py
@@ -16,8 +16,9 @@
 class Order(unittest.TestCase):
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(steps, st.lists(st.integers(-2_000, 2_000), min_size=4, max_size=4), st.integers(0, 79))
-    def test_what_was_heard_of_comes_before(self, moves: list[tuple[int, int, int]], skew: list[int],
-                                            jump: int) -> None:
+    def test_what_was_heard_of_comes_before(
+        self, moves: list[tuple[int, int, int]], skew: list[int], jump: int
+    ) -> None:
         """Clocks up to two seconds off either way, one of which jumps back in the middle."""
         clocks = [HybridClock(n) for n in range(4)]
         made: list[Stamp] = []
@@ -37,7 +38,7 @@
 
     def test_overlapping_purges_a_second_apart_keep_their_order(self) -> None:
         early, late = HybridClock(1), HybridClock(0)
-        first = early.next(NOW + 2_000 * MS)           # two seconds fast
+        first = early.next(NOW + 2_000 * MS)  # two seconds fast
         late.heard(NOW, first)
         second = late.next(NOW + 1_000 * MS - 2_000 * MS)  # a second later, two seconds slow
         self.assertGreater(second, first)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -61,8 +61,10 @@
             ("settings.limits.most_tries", lambda r: r["settings"]["limits"].update(most_tries=1.5)),
             ("settings.limits.most_tries", lambda r: r["settings"]["limits"].pop("most_tries")),
             ("settings.limits", lambda r: r["settings"].pop("limits")),
-            (f"{classes}[1].name", lambda r: r["settings"]["classes"][1].update(
-                name=r["settings"]["classes"][0]["name"])),
+            (
+                f"{classes}[1].name",
+                lambda r: r["settings"]["classes"][1].update(name=r["settings"]["classes"][0]["name"]),
+            ),
             (f"{classes}[0].idempotency", lambda r: r["settings"]["classes"][0].update(idempotency="twice")),
             (classes, lambda r: r["settings"].update(classes=[])),
         ]
@@ -75,13 +77,20 @@
             raw["settings"]["classes"][0]["give_up_ns"] = -5
             raw["settings"]["limits"]["most_tries"] = 0
             raw.pop("feed")
-        self.assertEqual(sorted(places(variant(spoil))), [
-            "feed", "settings.classes[0].give_up_ns", "settings.limits.most_tries"])
+
+        self.assertEqual(
+            sorted(places(variant(spoil))),
+            ["feed", "settings.classes[0].give_up_ns", "settings.limits.most_tries"],
+        )
 
     def test_what_is_not_whole_json(self) -> None:
         whole = orjson.dumps(EXAMPLE)
-        for data, found in ((b"", "is empty"), (b"  \n", "is empty"), (whole[: len(whole) // 2], "not JSON"),
-                            (b"[1, 2]", "is a JSON list")):
+        for data, found in (
+            (b"", "is empty"),
+            (b"  \n", "is empty"),
+            (whole[: len(whole) // 2], "not JSON"),
+            (b"[1, 2]", "is a JSON list"),
+        ):
             with self.subTest(found=found):
                 raw, faults = decode(data)
                 self.assertIsNone(raw)
@@ -93,40 +102,57 @@
             c = raw["settings"]["classes"]
             c.append({**c[0], "name": "new"})
             del c[0]
+
         self.assertEqual(places(variant(change)), [])
 
 
 class Plan(unittest.TestCase):
     def setUp(self) -> None:
         self.safe = api.RequestClass("a", aim_ns=100 * MS, deadline_ns=2 * SECOND)
-        self.old = api.Settings(zone="z", zones=("z",), classes=(self.safe, api.RequestClass("gone")),
-                                limits=api.Limits(max_attempts=4, second_copies=True, max_open=100))
+        self.old = api.Settings(
+            zone="z",
+            zones=("z",),
+            classes=(self.safe, api.RequestClass("gone")),
+            limits=api.Limits(max_attempts=4, second_copies=True, max_open=100),
+        )
 
     def test_the_passage_is_the_stricter_of_both(self) -> None:
         changed = api.RequestClass("a", api.Effect.UNSAFE, window_ns=SECOND, deadline_ns=3 * SECOND)
-        new = api.Settings(zone="other", zones=("z", "other"), classes=(changed, api.RequestClass("came")),
-                           limits=api.Limits(max_attempts=6, second_copies=False, max_open=0))
+        new = api.Settings(
+            zone="other",
+            zones=("z", "other"),
+            classes=(changed, api.RequestClass("came")),
+            limits=api.Limits(max_attempts=6, second_copies=False, max_open=0),
+        )
         between = passage(self.old, new)
         by = {c.name: c for c in between.classes}
         self.assertEqual(set(by), {"a", "came", "gone"})
         self.assertIs(by["a"].effect, api.Effect.UNSAFE)
         self.assertEqual((by["a"].deadline_ns, by["a"].window_ns), (2 * SECOND, SECOND))
-        self.assertEqual((between.limits.max_attempts, between.limits.second_copies, between.limits.max_open),
-                         (4, False, 100))
-        self.assertEqual(between.zone, "z")              # kept to the next start
+        self.assertEqual(
+            (between.limits.max_attempts, between.limits.second_copies, between.limits.max_open),
+            (4, False, 100),
+        )
+        self.assertEqual(between.zone, "z")  # kept to the next start
         after = settled(between, new)
         self.assertEqual([c.name for c in after.classes], ["a", "came"])
         self.assertEqual((after.limits.max_attempts, after.zone), (6, "z"))
         change = difference(self.old, new)
-        self.assertEqual((change.came, change.went, change.changed, change.attempts),
-                         (("came",), ("gone",), ("a",), (4, 6)))
+        self.assertEqual(
+            (change.came, change.went, change.changed, change.attempts),
+            (("came",), ("gone",), ("a",), (4, 6)),
+        )
         self.assertFalse(difference(self.old, self.old))
 
     def test_a_key_is_held_to_the_shorter_window_and_narrower_group(self) -> None:
         """The longer window was taken: in the passage a repeat went out that old servers would run."""
+
         def between(a: api.RequestClass, b: api.RequestClass) -> api.RequestClass:
-            return passage(api.Settings(zone="z", zones=("z",), classes=(a,)),
-                           api.Settings(zone="z", zones=("z",), classes=(b,))).classes[0]
+            return passage(
+                api.Settings(zone="z", zones=("z",), classes=(a,)),
+                api.Settings(zone="z", zones=("z",), classes=(b,)),
+            ).classes[0]
+
         wide = api.RequestClass("a", api.Effect.KEYED, window_ns=3 * SECOND, group="all")
         tight = api.RequestClass("a", api.Effect.KEYED, window_ns=SECOND, group="cell")
         for pair in ((wide, tight), (tight, wide)):
@@ -146,9 +172,11 @@
 class Reducer_(unittest.TestCase):
     def test_a_broken_file_changes_nothing_and_is_named_once(self) -> None:
         r = router()
+
         def spoil(raw: dict[str, Any]) -> None:
             raw["settings"]["classes"][0]["give_up_ns"] = -5
             raw["feed"] = "127.0.0.1:9"
+
         effects = reload(r, NOW, variant(spoil))
         (line,) = logged(effects, "config.refused")
         self.assertIn("settings.classes[0].give_up_ns: -5 is not usable", line.text)
@@ -163,11 +191,13 @@
     def test_a_class_that_comes_is_taken_at_once_and_one_that_goes_after_the_passage(self) -> None:
         r = router()
         first = EXAMPLE["settings"]["classes"][0]["name"]
+
         def change(raw: dict[str, Any]) -> None:
             c = raw["settings"]["classes"]
             c.append({**c[0], "name": "fresh", "idempotency": "unsafe"})
             del c[0]
             raw["settings"]["limits"]["most_tries"] = 1
+
         effects = reload(r, NOW, variant(change))
         (line,) = logged(effects, "config.read")
         self.assertIn("came: fresh", line.text)
@@ -176,8 +206,9 @@
         assert isinstance(wake, m.Wake)
         self.assertEqual(wake.at_ns, NOW + PASSAGE_NS)
         self.assertTrue(only(m.Dial, r.handle(NOW + MS, call(1, cls="fresh"))))
-        self.assertTrue(only(m.Dial, r.handle(NOW + MS, call(2, item="0b", cls=first)))
-                        or r.state.requests)       # still taken in the passage
+        self.assertTrue(
+            only(m.Dial, r.handle(NOW + MS, call(2, item="0b", cls=first))) or r.state.requests
+        )  # still taken in the passage
         self.assertEqual(r.state.policy.s.limits.max_attempts, 1)
         settle = r.handle(NOW + PASSAGE_NS, m.Due(wake.key))
         self.assertEqual(len(logged(settle, "config.settled")), 1)
@@ -192,11 +223,11 @@
         fresh = api.RequestClass("fresh", aim_ns=200 * MS, deadline_ns=S)
         grown = kit.settings(max_attempts=6, classes=(fresh, kit.UNSAFE))
         p.handle(S + MS, api.Retuned(grown))
-        self.assertIn("safe", p.ratio)                  # under way: what is known of its class stays
+        self.assertIn("safe", p.ratio)  # under way: what is known of its class stays
         (second,) = kit.fetches(kit.end(p, S + 2 * MS, first, Outcome.ERROR))
         self.assertEqual(kit.fetches(kit.end(p, S + 3 * MS, second, Outcome.ERROR, attempt=1)), [])
         p.handle(S + 4 * MS, api.Retuned(grown))
-        self.assertNotIn("safe", p.ratio)               # no longer held: forgotten
+        self.assertNotIn("safe", p.ratio)  # no longer held: forgotten
         (one,) = kit.fetches(kit.ask(p, S + 5 * MS, "r2", cls="fresh", patience_ns=S))
         p.handle(S + 6 * MS, api.Retuned(kit.settings(max_attempts=1, classes=(fresh,))))
         self.assertEqual(kit.fetches(kit.end(p, S + 7 * MS, one, Outcome.ERROR)), [])  # fewer now: it too
@@ -212,8 +243,10 @@
 class Program(unittest.TestCase):
     def test_the_operators_file_may_name_a_class_that_came_with_the_same_sighup(self) -> None:
         """The file was checked against the classes of the start, and refused for naming the new one."""
-        rules = ('kelpcroft version=1\nroute "fresh" {{ match class="{}"; attempts most=1; }}\n'
-                 'route "rest" {{ match; }}\n')
+        rules = (
+            'kelpcroft version=1\nroute "fresh" {{ match class="{}"; attempts most=1; }}\n'
+            'route "rest" {{ match; }}\n'
+        )
         with World() as world, Router(world, rules.format("page")) as router:
             router.client().ask("page")
             config = Path(router.folder.name) / "config.json"
--- a/tests/test_rollout_faults.py
+++ b/tests/test_rollout_faults.py
@@ -26,8 +26,9 @@
 class Base(Rollouts):
     """What the tests here share."""
 
-    def stopped(self, field: Field, plan: str, due: str, most: int = 1, per_s: float = 40.0,
-                orders: int = 0) -> Load:
+    def stopped(
+        self, field: Field, plan: str, due: str, most: int = 1, per_s: float = 40.0, orders: int = 0
+    ) -> Load:
         """A defective change: said to be ``due``, at so many routers at the most, and taken back."""
         controller = self.controller(plan)
         with Load(field, per_s, orders) as load:
@@ -57,12 +58,14 @@
                 relay.drop() if events[0] % 2 else None
             if events[0] < 2:
                 return
-            {2: lambda: relays["cache-z0"].change(Mode.DELAY),
-             3: lambda: relays["cache-z1"].change(Mode.RESET),
-             4: lambda: relays["parent1"].change(Mode.SILENT),
-             7: lambda: relays["cache-z1"].change(Mode.PASS),
-             9: lambda: relays["parent1"].change(Mode.PASS),
-             10: lambda: relays["cache-z0"].change(Mode.PASS)}.get(events[0], lambda: None)()
+            {
+                2: lambda: relays["cache-z0"].change(Mode.DELAY),
+                3: lambda: relays["cache-z1"].change(Mode.RESET),
+                4: lambda: relays["parent1"].change(Mode.SILENT),
+                7: lambda: relays["cache-z1"].change(Mode.PASS),
+                9: lambda: relays["parent1"].change(Mode.PASS),
+                10: lambda: relays["cache-z0"].change(Mode.PASS),
+            }.get(events[0], lambda: None)()
 
         field.on_order["apply"] = fault
         plan = field.plan(digest).replace("at-once=2", "at-once=3")
@@ -131,6 +134,7 @@
                 if not struck:
                     struck.append(node.name)
                     strike(node, old, new)
+
             return at
 
         field.on_step = {step: once(strike) for step, strike in strikes.items()}
@@ -242,7 +246,8 @@
         field, digest = self.field("sound", 2, 2)
         plan = field.plan(digest)
         plan = plan[: plan.index("act timeout")] + (
-            f'act local=#true {{ old "{ROOT}"; new "{self.folder / "new"}" }}\n')
+            f'act local=#true {{ old "{ROOT}"; new "{self.folder / "new"}" }}\n'
+        )
         for name, node in field.nodes.items():
             own = f'config="{node.folder}/config.json" rules="{node.folder}/rules.kdl"'
             plan = plan.replace(f'router "{name}"', f'router "{name}" {own}')
@@ -307,7 +312,7 @@
             with self.subTest(defect=defect):
                 self.setUp()
                 field, digest = self.field(defect, 2, 3)
-                if defect == "crashes":    # the platform starts it again
+                if defect == "crashes":  # the platform starts it again
                     self.again(field)
                 self.stopped(field, field.plan(digest), due, most, 60.0, 3 if defect == "one class" else 0)
 
@@ -319,6 +324,7 @@
 
     def again(self, field: Field) -> None:
         """A supervisor: what died is started again as it was."""
+
         def look() -> None:
             while field.agent.fileno() >= 0:
                 for node in field.nodes.values():
--- a/tests/test_routes_parts.py
+++ b/tests/test_routes_parts.py
@@ -184,8 +184,10 @@
 
 class Rest(unittest.TestCase):
     def test_a_duration_counts_from_the_clients_send(self) -> None:
-        text = ('kelpcroft version=1\nroute "r" { match class="page"; timeout "2s"; }\n'
-                'route "o" { match; timeout "50%"; }\n')
+        text = (
+            'kelpcroft version=1\nroute "r" { match class="page"; timeout "2s"; }\n'
+            'route "o" { match; timeout "50%"; }\n'
+        )
         table = Table(load(text.encode())[0], "edge-1", 1, 0)
 
         def wait(cls: str, patience: int, waited: int) -> int:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -76,8 +76,12 @@
 
 def test_drain_stops_cache_and_source_at_once() -> None:
     p = policy()
-    p.handle(S, api.ServerList("update", tuple(
-        replace(s, state="terminating") for s in servers() if s.name in ("c0", "p0"))))
+    p.handle(
+        S,
+        api.ServerList(
+            "update", tuple(replace(s, state="terminating") for s in servers() if s.name in ("c0", "p0"))
+        ),
+    )
     p.handle(S, api.ServerList("update", (replace(servers()[1], state="terminated"),)))
     for n in range(200):
         for f in fetches(ask(p, S + n * MS, f"r{n}", n)):
@@ -124,7 +128,8 @@
 
 
 VARIANTS: list[dict[str, object]] = [
-    {}, {"notes": "off", "siblings": "off", "weights": "off", "joins": True},
+    {},
+    {"notes": "off", "siblings": "off", "weights": "off", "joins": True},
     {"notes": "hit", "siblings": "any", "second_copies": True, "direct": True, "max_attempts": 8},
     {"may_cancel": False, "direct": True, "discovery": "ask", "fall_ns": 0, "pace_kb_per_s": 0.0},
     {"classes": (SAFE, replace(KEYED, group="cell"), replace(UNSAFE, streamed=True)), "may_cancel": False},
@@ -218,7 +223,14 @@
 def test_same_actions_under_another_hash_seed() -> None:
     code = "import test_rules, zlib; print(zlib.crc32(test_rules.random_day(1, 2).encode()))"
     path = os.pathsep.join([os.path.dirname(__file__), os.getcwd()])
-    seen = {subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True,
-                           env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": path}).stdout
-            for seed in ("1", "2")}
+    seen = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            check=True,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": path},
+        ).stdout
+        for seed in ("1", "2")
+    }
     assert len(seen) == 1
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -12,7 +12,7 @@
 from kelpcroft import messages as m
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
-STEPS = 8                    # turns from a client's first byte to its answer, and some
+STEPS = 8  # turns from a client's first byte to its answer, and some
 
 
 class Signals(unittest.TestCase):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -33,13 +33,14 @@
 class Pieces(unittest.TestCase):
     def test_a_request_in_pieces_of_any_size(self) -> None:
         fields = {"trace": TRACE, "patience": "900", "entity": TRACE, "block": "2", "family": "3"}
-        data = b"".join(msgpack.packb([0, n, "page", [fields | {"trace": f"{n:016x}"}, b"x" * n]])
-                        for n in range(1, 4))
+        data = b"".join(
+            msgpack.packb([0, n, "page", [fields | {"trace": f"{n:016x}"}, b"x" * n]]) for n in range(1, 4)
+        )
         whole = FrontCodec(1, SIZE).feed(memoryview(data))
         for size in (1, 2, 3, 7, 64):
             codec, found = FrontCodec(1, SIZE), []
             for at in range(0, len(data), size):
-                found += codec.feed(memoryview(data)[at:at + size])
+                found += codec.feed(memoryview(data)[at : at + size])
             with self.subTest(size=size):
                 self.assertEqual(found, whole)
                 self.assertFalse(codec.partial())
@@ -82,7 +83,7 @@
         got = b""
         tick = 0
         while len(got) < owed:
-            tick += 1                              # a tick is 1/16 s: 64 KB of the 1 MB a second
+            tick += 1  # a tick is 1/16 s: 64 KB of the 1 MB a second
             try:
                 got += theirs.recv(64 * 1024, socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -109,8 +110,11 @@
         listed = len(r.state.endpoints)
         self.assertGreater(listed, 0, "what was known is kept")
         r.handle(NOW + 10, m.News(r.members.seen, ()))
-        (wake,) = [e for e in r.handle(NOW + 11, m.FeedLost("x")) + r.handle(NOW + 12, m.FeedLost("x"))
-                   if isinstance(e, m.Wake)]
+        (wake,) = [
+            e
+            for e in r.handle(NOW + 11, m.FeedLost("x")) + r.handle(NOW + 12, m.FeedLost("x"))
+            if isinstance(e, m.Wake)
+        ]
         self.assertEqual(wake.at_ns - NOW - 12, AGAIN_NS, "an answer starts the waits over")
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -89,8 +89,7 @@
             back = [at for at in times if 10 * S < at < 11 * S]
             self.assertLess(most(back, S // 10), 25, count)
             self.assertTrue(all(x.failures == 0 for x in listings))
-            firsts = [min(at for at in calls([x], 40, lambda at: False) if at > 10 * S)
-                      for x in fleet(count)]
+            firsts = [min(at for at in calls([x], 40, lambda at: False) if at > 10 * S) for x in fleet(count)]
             self.assertLess(max(firsts), 10 * S + listings[0].late_ns + 2 * MS, count)
 
     def test_retry_after_is_heeded_as_far_as_it_is_sane(self) -> None:
@@ -108,8 +107,9 @@
 
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(EVENTS, st.integers(1, 5_000), st.integers(0, 2**32), st.sampled_from([0.0, 1.0, 50.0, 1e6]))
-    def test_any_order_of_answers_and_failures(self, events: list[str], count: int, seed: int,
-                                               per_s: float) -> None:
+    def test_any_order_of_answers_and_failures(
+        self, events: list[str], count: int, seed: int, per_s: float
+    ) -> None:
         x = Listing(count, seed, per_s)
         for event in events:
             if event == "retry":
@@ -159,10 +159,14 @@
         home = line("a").address
         self.assertEqual(self.used(line("x", at=home)), [])
         self.assertEqual(self.used(line("x", at=home, started=9)), ["x in_service"], "it has started since")
-        self.assertEqual(self.used(line("a", "terminated"), line("x", at=home)),
-                         ["a terminated", "x in_service"], "it has taken the place of one that goes")
-        self.assertEqual(self.used(line("x", at=home), line("b"), whole=True),
-                         ["x in_service", "b in_service"])
+        self.assertEqual(
+            self.used(line("a", "terminated"), line("x", at=home)),
+            ["a terminated", "x in_service"],
+            "it has taken the place of one that goes",
+        )
+        self.assertEqual(
+            self.used(line("x", at=home), line("b"), whole=True), ["x in_service", "b in_service"]
+        )
         self.assertEqual(self.used(line("x", at=line("c").address)), ["x in_service"], "c drains")
 
     def test_numbers_that_go_back_bring_nobody_back(self) -> None:
@@ -224,7 +228,7 @@
             effects = r.handle(NOW + 4 * S, m.News(1, ()))
             self.assertIn("s-x", r.state.endpoints, "the last good view is kept")
             self.assertEqual(events(effects), ["feed.renumbered"])
-            if routers:              # a fleet's second calls are spread as its first were
+            if routers:  # a fleet's second calls are spread as its first were
                 (wake,) = feed_wakes(effects)
                 effects = r.handle(wake.at_ns, m.Due(wake.key))
             self.assertEqual([e.after for e in polls(effects)], [0])
@@ -246,8 +250,9 @@
                 made += len(polls(effects))
                 wakes = feed_wakes(effects)
                 now = wakes[0].at_ns if wakes else now + MS
-                effects = (r.handle(now, m.Due(wakes[0].key)) if wakes
-                           else r.handle(now, m.News(r.members.seen, ())))
+                effects = (
+                    r.handle(now, m.Due(wakes[0].key)) if wakes else r.handle(now, m.News(r.members.seen, ()))
+                )
             self.assertLess(made, most_calls, "in ten seconds")
 
     def test_an_empty_whole_list_changes_nothing_and_is_said_once(self) -> None:
@@ -310,7 +315,7 @@
                 crowd.told(NOW + n * MS, reported, 2)
         self.assertEqual(crowd.routers(NOW + S), 4)
         for n in range(50):
-            crowd.told(NOW + S + n * MS, 0.0, 2)     # of before our own two came
+            crowd.told(NOW + S + n * MS, 0.0, 2)  # of before our own two came
         self.assertEqual(crowd.routers(NOW + S + 50 * MS), 2, "alone, and a margin")
 
     @settings(max_examples=100, deadline=None, derandomize=True)
@@ -330,7 +335,7 @@
 
     def test_a_deployment_without_that_report_refuses_the_count(self) -> None:
         s = router().state.settings
-        file, _ = load(b"kelpcroft version=1\nstart count=#true\nroute \"rest\" { match; }\n")
+        file, _ = load(b'kelpcroft version=1\nstart count=#true\nroute "rest" { match; }\n')
         self.assertEqual([f.code for f in check(file, s)], [])
         for changed in (replace(s, report_how="off"), replace(s, report_fields=("utilization",))):
             self.assertEqual([f.code for f in check(file, changed)], ["no-report"])
@@ -446,10 +451,13 @@
         file, faults = load(b"kelpcroft version=1\nstart list-calls=50\n")
         assert file is not None
         self.assertEqual((faults, file.start), ([], BUDGET))
-        for text, code in ((b"start", "missing-value"), (b"start list-calls=0", "bad-rate"),
-                           (b"start list-calls=50\nstart list-calls=50", "duplicate-node"),
-                           (b"start calls=50 list-calls=50", "unknown-key"),
-                           (b'start list-calls="many"', "wrong-type")):
+        for text, code in (
+            (b"start", "missing-value"),
+            (b"start list-calls=0", "bad-rate"),
+            (b"start list-calls=50\nstart list-calls=50", "duplicate-node"),
+            (b"start calls=50 list-calls=50", "unknown-key"),
+            (b'start list-calls="many"', "wrong-type"),
+        ):
             _, faults = load(b"kelpcroft version=1\n" + text + b"\n")
             self.assertEqual([f.code for f in faults], [code], text)
 
@@ -469,9 +477,16 @@
     def test_a_file_that_is_not_to_be_used_costs_nothing(self) -> None:
         good = starts.encode("n3", [NOW - S], NOW)
         self.assertEqual(len(starts.decode(good, "n3", NOW)), 2)
-        for data in (b"", b"{", b"[]", good.replace(b"n3", b"n4"), good.replace(b'"v":1', b'"v":2'),
-                     b'{"v":1,"name":"n3","starts_ms":[true]}', b'{"v":1,"name":"n3","starts_ms":"x"}',
-                     b" " * starts.SIZE_MOST + good):
+        for data in (
+            b"",
+            b"{",
+            b"[]",
+            good.replace(b"n3", b"n4"),
+            good.replace(b'"v":1', b'"v":2'),
+            b'{"v":1,"name":"n3","starts_ms":[true]}',
+            b'{"v":1,"name":"n3","starts_ms":"x"}',
+            b" " * starts.SIZE_MOST + good,
+        ):
             self.assertEqual(starts.decode(data, "n3", NOW), [])
         future = starts.encode("n3", [], NOW + 3_600 * S)
         self.assertEqual(starts.decode(future, "n3", NOW), [], "a clock that was wrong")
@@ -500,13 +515,19 @@
             self.assertEqual(len(fleet.listed) == 200, not falls, way)
 
     def test_dead_for_ten_seconds_and_counting_anew(self) -> None:
-        fleet = Played(120, rate=0.2, cold=False, cold_hubs=False,
-                       service=Service(dead_until=START + 10 * S, per_s=100.0, most=40, renumbers=True))
+        fleet = Played(
+            120,
+            rate=0.2,
+            cold=False,
+            cold_hubs=False,
+            service=Service(dead_until=START + 10 * S, per_s=100.0, most=40, renumbers=True),
+        )
         fleet.way = "budget"
         fleet.run(20)
         self.assertEqual((fleet.service.falls, len(fleet.listed)), (0, 120))
-        self.assertLess(max(fleet.listed.values()), START + 10 * S + fleet.routers[0].members.listing.late_ns
-                        + S)
+        self.assertLess(
+            max(fleet.listed.values()), START + 10 * S + fleet.routers[0].members.listing.late_ns + S
+        )
         self.assertTrue(all(r.state.endpoints for r in fleet.routers))
 
 
--- a/tests/test_two_sites.py
+++ b/tests/test_two_sites.py
@@ -3,7 +3,6 @@
 They differ in classes, effects, groups, windows, graces, features, reports, weights and told sizes; nothing
 of either is named in the program or in the file that `run` names."""
 
-
 from __future__ import annotations
 
 import json
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -20,8 +20,12 @@
 
 
 class Bounds(unittest.TestCase):
-    @given(st.integers(0, 60 * SECOND), st.integers(0, 5 * SECOND), st.integers(0, 5 * SECOND),
-           st.integers(MS, 4 * SECOND))
+    @given(
+        st.integers(0, 60 * SECOND),
+        st.integers(0, 5 * SECOND),
+        st.integers(0, 5 * SECOND),
+        st.integers(MS, 4 * SECOND),
+    )
     def test_the_settings_bound_it(self, ask: int, drain: int, purge: int, wait: int) -> None:
         """It was a constant of ours, whatever the settings said of when a list counts as told."""
         watch = bounded(Rules(ask_within_ns=ask, drain_grace_ns=drain, purge_grace_ns=purge), wait)
@@ -55,8 +59,10 @@
     def drain(self, t: Turns) -> dict[str, object]:
         (event,) = t.raw["known"]["events"]
         (line,) = [e for e in event["members"]["endpoints"] if e["name"] == "s-c1"]
-        return {"n": 2, "members": {"index": 2, "snapshot": False, "endpoints": [
-            {**line, "status": "leaving"}]}}
+        return {
+            "n": 2,
+            "members": {"index": 2, "snapshot": False, "endpoints": [{**line, "status": "leaving"}]},
+        }
 
     def test_silent_for_ever(self) -> None:
         """Nothing comes on an open watch, again and again: each is asked anew in time, and a drain told
@@ -91,7 +97,7 @@
         t.turn(SECOND)
         whole = news(2, self.drain(t))
         for at in range(0, len(whole), 20):
-            feed.send(whole[at:at + 20])
+            feed.send(whole[at : at + 20])
             t.turn(200 * MS)
         self.assertGreater(len(whole) // 20 * 200, 1_400)
         self.assertNotIn("s-c1", t.loop.reducer.state.endpoints)
--- a/tests/turns.py
+++ b/tests/turns.py
@@ -92,35 +92,65 @@
     return b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
 
 
-def call(number: int, trace: str = "", cls: str = "page", patience: int = 2_000, body: bytes = b"",
-         **more: str) -> bytes:
+def call(
+    number: int, trace: str = "", cls: str = "page", patience: int = 2_000, body: bytes = b"", **more: str
+) -> bytes:
     """A client's request; its trace is its number unless told."""
-    fields = {"trace": trace or f"{number:016x}", "patience": str(patience), "entity": OBJECT, "block": "0",
-              "family": "17", **more}
+    fields = {
+        "trace": trace or f"{number:016x}",
+        "patience": str(patience),
+        "entity": OBJECT,
+        "block": "0",
+        "family": "17",
+        **more,
+    }
     return bytes(msgpack.packb([0, number, cls, [fields, body]]))
 
 
 class Turns:
     """One router in the test's own process, with its servers' listening sockets."""
 
-    def __init__(self, case: unittest.TestCase, only: tuple[str, ...] = ("cache1", "parent", "origin"),
-                 feed: bool = True, orders: dict[str, Any] | None = None,
-                 allowed: dict[str, Any] | None = None, settings: dict[str, Any] | None = None,
-                 **more: Any) -> None:
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        only: tuple[str, ...] = ("cache1", "parent", "origin"),
+        feed: bool = True,
+        orders: dict[str, Any] | None = None,
+        allowed: dict[str, Any] | None = None,
+        settings: dict[str, Any] | None = None,
+        **more: Any,
+    ) -> None:
         """``feed``: the list service listens.  ``orders``: what is otherwise of the class of orders;
         ``allowed``: of ``settings.limits``; ``settings`` and ``more``: of the settings and the whole."""
-        self.now, self.tick_ns = NOW, 0          # the time, and what each look at it adds
+        self.now, self.tick_ns = NOW, 0  # the time, and what each look at it adds
         self.listeners = {n: socket.create_server(("127.0.0.1", 0)) for n in (*only, "feed")}
         for sock in self.listeners.values():
             sock.setblocking(False)
             case.addCleanup(sock.close)
-        endpoints = [{"name": SERVERS[n][0], "address": self.at(n), "zone": SERVERS[n][1],
-                      "type": SERVERS[n][2], "status": "active"} for n in only]
+        endpoints = [
+            {
+                "name": SERVERS[n][0],
+                "address": self.at(n),
+                "zone": SERVERS[n][1],
+                "type": SERVERS[n][2],
+                "status": "active",
+            }
+            for n in only
+        ]
         feed_at = self.at("feed")
         if not feed:
             self.listeners.pop("feed").close()
-        raw = copy.deepcopy({**EXAMPLE, "feed": feed_at, "known": {"n": 1, "events": [
-            {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}]}, **more})
+        raw = copy.deepcopy(
+            {
+                **EXAMPLE,
+                "feed": feed_at,
+                "known": {
+                    "n": 1,
+                    "events": [{"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}],
+                },
+                **more,
+            }
+        )
         raw["settings"].update(settings or {})
         raw["settings"]["limits"].update(allowed or {})
         raw["settings"]["classes"][1].update(orders or {})
@@ -146,8 +176,12 @@
 
     def end(self) -> None:
         loop = self.loop
-        for peer in [*loop.clients.values(), *loop.servers.values(), *loop.callers.values(),
-                     *([loop.feed] if loop.feed else [])]:
+        for peer in [
+            *loop.clients.values(),
+            *loop.servers.values(),
+            *loop.callers.values(),
+            *([loop.feed] if loop.feed else []),
+        ]:
             peer.sock.close()
         for sock in (loop.listener, loop.mgmt):
             if sock is not None:
@@ -176,8 +210,12 @@
         peer = Peer(socket.create_connection(self.address, WAIT_S))
         self.case.addCleanup(peer.sock.close)
         here = peer.sock.getsockname()
-        self.until(lambda: any(c.sock.fileno() >= 0 and c.sock.getpeername() == here
-                               for c in self.loop.clients.values()), "a client is taken")
+        self.until(
+            lambda: any(
+                c.sock.fileno() >= 0 and c.sock.getpeername() == here for c in self.loop.clients.values()
+            ),
+            "a client is taken",
+        )
         return peer
 
     def socket_of(self, peer: Peer) -> socket.socket:
@@ -206,6 +244,7 @@
             except BlockingIOError:
                 return False
             return True
+
         self.until(come, f"{name} is dialled")
         self.case.addCleanup(found[0].close)
         return Peer(found[0])
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -19,11 +19,22 @@
 TARGET = ROOT / ".compiled"
 PACKAGES = ("zincgrade", "kelpcroft")
 HOT = (
-    "zincgrade/interface.py", "zincgrade/estimate.py", "zincgrade/held.py", "zincgrade/policy.py",
-    "kelpcroft/core/keys.py", "kelpcroft/core/ledger.py", "kelpcroft/core/links.py",
-    "kelpcroft/core/state.py", "kelpcroft/core/requests.py", "kelpcroft/core/attempts.py",
-    "kelpcroft/core/members.py", "kelpcroft/core/reducer.py", "kelpcroft/net/front.py",
-    "kelpcroft/net/shelf.py", "kelpcroft/net/buffers.py", "kelpcroft/net/connections.py",
+    "zincgrade/interface.py",
+    "zincgrade/estimate.py",
+    "zincgrade/held.py",
+    "zincgrade/policy.py",
+    "kelpcroft/core/keys.py",
+    "kelpcroft/core/ledger.py",
+    "kelpcroft/core/links.py",
+    "kelpcroft/core/state.py",
+    "kelpcroft/core/requests.py",
+    "kelpcroft/core/attempts.py",
+    "kelpcroft/core/members.py",
+    "kelpcroft/core/reducer.py",
+    "kelpcroft/net/front.py",
+    "kelpcroft/net/shelf.py",
+    "kelpcroft/net/buffers.py",
+    "kelpcroft/net/connections.py",
     "kelpcroft/net/loop.py",
 )
 # Compiled apart: what is compiled together is loaded together, and these are wanted only with a file.
@@ -47,15 +58,23 @@
 def make(folder: Path) -> None:
     """The copy, compiled if that can be done."""
     for package in PACKAGES:
-        shutil.copytree(ROOT / package, folder / package,
-                        ignore=shutil.ignore_patterns("__pycache__", "*.so"))
+        shutil.copytree(
+            ROOT / package, folder / package, ignore=shutil.ignore_patterns("__pycache__", "*.so")
+        )
     shutil.copy(ROOT / "pyproject.toml", folder)
     for group in (HOT, ROUTES):
-        done = subprocess.run([sys.executable, "-m", "mypyc", *group], cwd=folder, capture_output=True,
-                              text=True, env={**os.environ, "MYPYC_OPT_LEVEL": "2"})
+        done = subprocess.run(
+            [sys.executable, "-m", "mypyc", *group],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "MYPYC_OPT_LEVEL": "2"},
+        )
         if done.returncode:
-            print(f"not compiled, the plain modules are used: {(done.stderr or done.stdout)[-600:]}",
-                  file=sys.stderr)
+            print(
+                f"not compiled, the plain modules are used: {(done.stderr or done.stdout)[-600:]}",
+                file=sys.stderr,
+            )
             for built in folder.rglob("*.so"):
                 built.unlink()
             break
--- a/tools/fleet_counts.py
+++ b/tools/fleet_counts.py
@@ -28,7 +28,7 @@
     with path.open(errors="replace") as lines:
         for line in lines:
             try:
-                event = json.loads(line[line.index("{"):])
+                event = json.loads(line[line.index("{") :])
             except ValueError:
                 continue
             if isinstance(event, dict) and "event" in event and "t" in event:
@@ -99,9 +99,12 @@
     if args.servers:
         zones = zones_of(found)
         for name, seconds in sorted(by_server(found).items(), key=lambda x: (zones.get(x[0], ""), x[0])):
-            cells = [f"{t}s {len(rows)} busy {mean(rows, 'utilization'):.2f} hits {mean(rows, 'x0'):.2f} "
-                     f"link {mean(rows, 'x1'):.1f}"
-                     for t, rows in sorted(seconds.items()) if args.start <= t <= args.end]
+            cells = [
+                f"{t}s {len(rows)} busy {mean(rows, 'utilization'):.2f} hits {mean(rows, 'x0'):.2f} "
+                f"link {mean(rows, 'x1'):.1f}"
+                for t, rows in sorted(seconds.items())
+                if args.start <= t <= args.end
+            ]
             if cells:
                 print(f"{zones.get(name, '?')} {name}: " + "; ".join(cells))
     else:
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -27,35 +27,59 @@
     """Keys of one table; ``place`` counts tables of the same name from 0."""
 
     table: str
-    values: dict[str, str]       # as TOML writes them
+    values: dict[str, str]  # as TOML writes them
     place: int = 0
 
 
 VARIANTS: dict[str, tuple[str, tuple[Change, ...]]] = {
     # Orders carry a key that binds for a short window; near deadlines, few attempts, dear calls.
-    "near-keyed": ("sites/tt-kits.toml", (
-        Change("", {"name": '"near-keyed"'}),
-        Change("class", {"name": '"strip"', "share": "[3.0, 3.6]", "deadline_ms": "3000", "aim_ms": "450"}),
-        Change("class", {"name": '"leaf"', "share": "[4.6, 5.2]", "deadline_ms": "1500", "worth": "2"}, 1),
-        Change("class", {"name": '"stamp"', "share": "[0.6, 0.9]", "deadline_ms": "2000", "effect": '"keyed"',
-                         "group": '"all"', "window_ms": "700"}, 2),
-        Change("allow", {"max_attempts": "3", "second_copies": "false", "retry_after": "false"}),
-        Change("rules", {"drain_grace_ms": "300"}),
-        Change("prices", {"probe": "0.05", "cross_zone": "0.03", "waste": "0.1"}),
-        Change("tier.conn", {"idle_s": "8", "streams": "8"}),
-    )),
+    "near-keyed": (
+        "sites/tt-kits.toml",
+        (
+            Change("", {"name": '"near-keyed"'}),
+            Change(
+                "class", {"name": '"strip"', "share": "[3.0, 3.6]", "deadline_ms": "3000", "aim_ms": "450"}
+            ),
+            Change(
+                "class", {"name": '"leaf"', "share": "[4.6, 5.2]", "deadline_ms": "1500", "worth": "2"}, 1
+            ),
+            Change(
+                "class",
+                {
+                    "name": '"stamp"',
+                    "share": "[0.6, 0.9]",
+                    "deadline_ms": "2000",
+                    "effect": '"keyed"',
+                    "group": '"all"',
+                    "window_ms": "700",
+                },
+                2,
+            ),
+            Change("allow", {"max_attempts": "3", "second_copies": "false", "retry_after": "false"}),
+            Change("rules", {"drain_grace_ms": "300"}),
+            Change("prices", {"probe": "0.05", "cross_zone": "0.03", "waste": "0.1"}),
+            Change("tier.conn", {"idle_s": "8", "streams": "8"}),
+        ),
+    ),
     # Two classes that must not run twice, one of them most of the worth; nothing can be called off or probed.
-    "far-once": ("more/mass/other/branch-caches.toml", (
-        Change("", {"name": '"far-once"'}),
-        Change("class", {"name": '"reel"', "share": "[5.5, 6.5]", "worth": "1", "deadline_ms": "9000"}),
-        Change("class", {"name": '"plate"', "share": "[2.2, 2.8]", "aim_ms": "400", "late_worth": "0.4"}, 1),
-        Change("class", {"name": '"ledger"', "share": "[0.7, 0.9]", "worth": "6", "deadline_ms": "2500"}, 2),
-        Change("allow", {"probes": "false", "cancel": "false", "max_attempts": "4"}),
-        Change("clients", {"retries": "[0, 1]", "backoff_ms": "[20, 120]"}),
-        Change("discovery", {"notice_s": "[0.4, 2]", "add_s": "[0.2, 1]"}),
-        Change("tier.conn", {"idle_s": "12", "connect_timeout_ms": "300"}),
-        Change("prices", {"waste": "0.05", "origin": "0.06"}),
-    )),
+    "far-once": (
+        "more/mass/other/branch-caches.toml",
+        (
+            Change("", {"name": '"far-once"'}),
+            Change("class", {"name": '"reel"', "share": "[5.5, 6.5]", "worth": "1", "deadline_ms": "9000"}),
+            Change(
+                "class", {"name": '"plate"', "share": "[2.2, 2.8]", "aim_ms": "400", "late_worth": "0.4"}, 1
+            ),
+            Change(
+                "class", {"name": '"ledger"', "share": "[0.7, 0.9]", "worth": "6", "deadline_ms": "2500"}, 2
+            ),
+            Change("allow", {"probes": "false", "cancel": "false", "max_attempts": "4"}),
+            Change("clients", {"retries": "[0, 1]", "backoff_ms": "[20, 120]"}),
+            Change("discovery", {"notice_s": "[0.4, 2]", "add_s": "[0.2, 1]"}),
+            Change("tier.conn", {"idle_s": "12", "connect_timeout_ms": "300"}),
+            Change("prices", {"waste": "0.05", "origin": "0.06"}),
+        ),
+    ),
 }
 
 
--- a/zincgrade/held.py
+++ b/zincgrade/held.py
@@ -16,9 +16,9 @@
 class Memo:
     """What is remembered of one part of an object."""
 
-    count: float = 0.0         # requests, halving with time
+    count: float = 0.0  # requests, halving with time
     last_ns: int = 0
-    unit_ns: float = 0.0       # least time an answer took, 0 = none yet
+    unit_ns: float = 0.0  # least time an answer took, 0 = none yet
     holders: dict[str, int] = field(default_factory=dict)  # caches shown to hold it, and when
 
 
@@ -43,13 +43,13 @@
         self.request, self.cls, self.key = request, cls, key
         self.start_ns, self.deadline_ns = now, now + request.patience_ns
         self.out: dict[int, Attempt] = {}
-        self.tries, self.most = 0, most    # attempts sent; allowed when it came
+        self.tries, self.most = 0, most  # attempts sent; allowed when it came
         self.done = self.started = self.judged = False
-        self.fills = self.look = False     # looks like a fill; only a hit is wanted
-        self.aside = False                 # its zone's caches have no room for it: straight to a parent
-        self.resets = 0                    # attempts lost with their connection
+        self.fills = self.look = False  # looks like a fill; only a hit is wanted
+        self.aside = False  # its zone's caches have no room for it: straight to a parent
+        self.resets = 0  # attempts lost with their connection
         self.further = self.moved = self.copied = 0  # sends after one that may have run, or had not; copies
         self.bad_caches: set[str] = set()
         self.bad_sources: set[str] = set()
         self.memo: Memo | None = None
-        self.ran = request.ran             # first send that may have run, of any request of its key
+        self.ran = request.ran  # first send that may have run, of any request of its key
--- a/zincgrade/interface.py
+++ b/zincgrade/interface.py
@@ -73,18 +73,18 @@
 
     name: str
     effect: Effect = Effect.SAFE
-    group: str = "all"            # keyed: caches that drop each other's repeats: "all", "zone" or "cell"
-    window_ns: int = 0            # keyed: repeats are dropped this long after the first send that may run
-    aim_ns: int = 0               # an answer within this earns full worth ...
-    aim_stretch: float = 0.0      # ... plus this many times the request's own sending time
-    deadline_ns: int = 0          # the client's whole patience
+    group: str = "all"  # keyed: caches that drop each other's repeats: "all", "zone" or "cell"
+    window_ns: int = 0  # keyed: repeats are dropped this long after the first send that may run
+    aim_ns: int = 0  # an answer within this earns full worth ...
+    aim_stretch: float = 0.0  # ... plus this many times the request's own sending time
+    deadline_ns: int = 0  # the client's whole patience
     worth: float = 1.0
-    late_worth: float = 0.0       # share of the worth after the aim
+    late_worth: float = 0.0  # share of the worth after the aim
     streamed: bool = False
-    uncacheable: bool = False     # runs at the origin and leaves no copy
+    uncacheable: bool = False  # runs at the origin and leaves no copy
     in_parts: bool = False
-    fresh_ns: int = 0             # a copy is good this long; 0 = until purged
-    grace_ns: int = 0             # and may still be served this long after
+    fresh_ns: int = 0  # a copy is good this long; 0 = until purged
+    grace_ns: int = 0  # and may still be served this long after
     stale_worth: float = 1.0
 
 
@@ -95,15 +95,15 @@
     may_cancel: bool = False
     may_probe: bool = False
     peers: bool = False
-    second_copies: bool = False   # two attempts of one request may be out together
-    retry_after: bool = False     # clients are told when to come back
+    second_copies: bool = False  # two attempts of one request may be out together
+    retry_after: bool = False  # clients are told when to come back
     max_retry_after_ns: int = 0
     max_attempts: int = 1
-    max_open: int = 0             # 0 = not told
+    max_open: int = 0  # 0 = not told
     connect_timeout_ns: int = 0
 
 
-PURGE_KEEP_NS = 60 * 10**9    # after the servers' sweep: the longest that a client, and so a fill, may wait
+PURGE_KEEP_NS = 60 * 10**9  # after the servers' sweep: the longest that a client, and so a fill, may wait
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,16 +112,16 @@
 
     answer_slack_ns: int = 0
     drain_grace_ns: int = 0
-    cold_from: float = 1.0        # share of its capacity a cache has at its start, at least
-    cold_ns: int = 0              # by then it has all
-    fall_multiple: float = 1.0    # more than this times its present capacity ...
-    fall_ns: int = 0              # ... for this long topples it (parents too)
+    cold_from: float = 1.0  # share of its capacity a cache has at its start, at least
+    cold_ns: int = 0  # by then it has all
+    fall_multiple: float = 1.0  # more than this times its present capacity ...
+    fall_ns: int = 0  # ... for this long topples it (parents too)
     parent_cold_from: float = 1.0
     parent_cold_ns: int = 0
     parent_fall_multiple: float = 1.0
     purge_grace_ns: int = 0
-    purge_done_ns: int = 0        # by then servers have dropped purged copies themselves
-    ask_within_ns: int = 0        # ask discovery: the list counts as told after this
+    purge_done_ns: int = 0  # by then servers have dropped purged copies themselves
+    ask_within_ns: int = 0  # ask discovery: the list counts as told after this
 
     @property
     def purge_span_ns(self) -> int:
@@ -140,18 +140,18 @@
     rules: Rules = field(default_factory=Rules)
     seed: int = 0
     self_index: int = 0
-    instances: int = 1            # routers in all zones
-    zone_instances: int = 1       # routers in this zone
+    instances: int = 1  # routers in all zones
+    zone_instances: int = 1  # routers in this zone
     hub_of: tuple[int, ...] = ()  # per zone, the place of its hub
-    link_kb_per_s: float = 0.0    # this zone's link for fills; 0 = not told
-    pace_kb_per_s: float = 0.0    # one transfer to a client runs at most at this pace; 0 = not told
-    direct: bool = False          # parents and the origin take requests straight
-    siblings: str = "off"         # caches that may be a fill's source: "off", "location" or "any"
-    joins: bool = False           # a request may join a fill under way
-    notes: str = "off"            # "all", "hit" or "off"
-    discovery: str = "push"       # "push" or "ask"
-    weights: str = "off"          # meaning of Server.weight: "off", "nominal", "rough" or "live"
-    report_how: str = "off"       # "inline", "on_probe" or "off"
+    link_kb_per_s: float = 0.0  # this zone's link for fills; 0 = not told
+    pace_kb_per_s: float = 0.0  # one transfer to a client runs at most at this pace; 0 = not told
+    direct: bool = False  # parents and the origin take requests straight
+    siblings: str = "off"  # caches that may be a fill's source: "off", "location" or "any"
+    joins: bool = False  # a request may join a fill under way
+    notes: str = "off"  # "all", "hit" or "off"
+    discovery: str = "push"  # "push" or "ask"
+    weights: str = "off"  # meaning of Server.weight: "off", "nominal", "rough" or "live"
+    report_how: str = "off"  # "inline", "on_probe" or "off"
     report_fields: tuple[str, ...] = ()
     tick_ns: int = 1
 
@@ -177,9 +177,9 @@
     role: Role
     zone: str
     cell: int = 0
-    state: str = "in_service"     # "in_service", "terminating" or "terminated"
-    weight: float = 1.0           # above 0
-    started_ns: int = 0           # clock time of its last start; 0 = long ago
+    state: str = "in_service"  # "in_service", "terminating" or "terminated"
+    weight: float = 1.0  # above 0
+    started_ns: int = 0  # clock time of its last start; 0 = long ago
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,16 +195,16 @@
 class Bounds:
     """What a route lets one request cost.  The defaults bound nothing."""
 
-    attempt_ns: int = 0           # one attempt's time at the most; 0 = not bounded
-    attempts: int = 0             # sends that may have run, copies apart; 0 = not bounded
+    attempt_ns: int = 0  # one attempt's time at the most; 0 = not bounded
+    attempts: int = 0  # sends that may have run, copies apart; 0 = not bounded
     again: frozenset[Outcome] | None = None  # of the ends that may have run: tried again; None = after any
-    moves: int = -1               # further sends after an end that proves that nothing ran; -1 = not bounded
-    copies: int = 0               # second copies while an attempt is out
-    waits: tuple[int, ...] = ()   # before each further attempt, in ns; the last counts on
-    pause_ns: int = 0             # told to a client whose request is given up
-    budgeted: bool = False        # further attempts are paid for by the route: see AttemptEnded.room
-    full: bool = False            # too many of its route are open: refuse it
-    cut: bool = False             # patience_ns ends before the client's patience does
+    moves: int = -1  # further sends after an end that proves that nothing ran; -1 = not bounded
+    copies: int = 0  # second copies while an attempt is out
+    waits: tuple[int, ...] = ()  # before each further attempt, in ns; the last counts on
+    pause_ns: int = 0  # told to a client whose request is given up
+    budgeted: bool = False  # further attempts are paid for by the route: see AttemptEnded.room
+    full: bool = False  # too many of its route are open: refuse it
+    cut: bool = False  # patience_ns ends before the client's patience does
 
 
 # Events ---------------------------------------------------------------------------------------------------
@@ -228,13 +228,13 @@
     object: int
     part: int = 0
     group: int = 0
-    size_kb: float = 0.0          # 0 = not told
+    size_kb: float = 0.0  # 0 = not told
     write: bool = False
     retry: bool = False
     tenant: str = ""
     bounds: Bounds | None = None  # None = the module's own way in all
-    ran: Ran | None = None        # an earlier request of the same idempotency key that may have run
-    once: bool = False            # keyed: a retry of what this router has not seen: where and when is unknown
+    ran: Ran | None = None  # an earlier request of the same idempotency key that may have run
+    once: bool = False  # keyed: a retry of what this router has not seen: where and when is unknown
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,9 +258,9 @@
     took_ns: int
     final: bool
     note: Note = Note.NONE
-    first_byte_ns: int = 0        # wait for the source's first byte or failure; 0 = not told
+    first_byte_ns: int = 0  # wait for the source's first byte or failure; 0 = not told
     report: dict[str, float] = field(default_factory=dict)
-    room: bool = True             # the route's budget pays for one more attempt
+    room: bool = True  # the route's budget pays for one more attempt
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,7 +268,7 @@
     """An attempt has been out for so long that its route wants a second copy."""
 
     id: str
-    room: bool                    # its budget pays for one
+    room: bool  # its budget pays for one
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,8 +338,19 @@
 
 
 Event = Union[
-    ServerList, Request, AnswerStarted, AttemptEnded, CopyDue, WaitOver, ClientGone, TimerDue, Probed,
-    PeerMessage, Purged, Retuned, Part,
+    ServerList,
+    Request,
+    AnswerStarted,
+    AttemptEnded,
+    CopyDue,
+    WaitOver,
+    ClientGone,
+    TimerDue,
+    Probed,
+    PeerMessage,
+    Purged,
+    Retuned,
+    Part,
 ]
 
 
@@ -353,13 +364,13 @@
     id: str
     cache: str
     timeout_ns: int
-    source: str                   # where a miss is filled from; the same server: nothing is filled
-    max_age_ns: int = 0           # oldest copy that will do; 0 = the class's fresh time
-    rank: int = 0                 # 0 = pass through, 1 to 3 = keep at this rank
-    join: bool = False            # wait for a fill under way
-    held_only: bool = False       # the source gives only what it holds
+    source: str  # where a miss is filled from; the same server: nothing is filled
+    max_age_ns: int = 0  # oldest copy that will do; 0 = the class's fresh time
+    rank: int = 0  # 0 = pass through, 1 to 3 = keep at this rank
+    join: bool = False  # wait for a fill under way
+    held_only: bool = False  # the source gives only what it holds
     no_parent_copy: bool = False
-    renew: bool = False           # serve an ageing copy and fetch it anew behind
+    renew: bool = False  # serve an ageing copy and fetch it anew behind
 
 
 @dataclass(frozen=True, slots=True)
--- a/zincgrade/simhost.py
+++ b/zincgrade/simhost.py
@@ -15,8 +15,18 @@
 from zincgrade.policy import Policy
 
 WIDTH = {
-    "Hello": 3, "Down": 1, "Roster": 2, "Sync": 4, "Ingress": 11, "Streaming": 5, "AttemptEnd": 9,
-    "Abandoned": 2, "DeadlineHit": 2, "ProbeResult": 5, "Mail": 3, "Purged": 4,
+    "Hello": 3,
+    "Down": 1,
+    "Roster": 2,
+    "Sync": 4,
+    "Ingress": 11,
+    "Streaming": 5,
+    "AttemptEnd": 9,
+    "Abandoned": 2,
+    "DeadlineHit": 2,
+    "ProbeResult": 5,
+    "Mail": 3,
+    "Purged": 4,
 }
 
 
@@ -37,36 +47,52 @@
             effect = i.Effect(c.get("idempotency") or "safe")
         except ValueError as error:
             raise i.SettingsError(f"classes[{n}].idempotency: {error}") from error
-        classes.append(i.RequestClass(
-            name=c["name"], effect=effect, group=c.get("group") or "all",
-            window_ns=int(c.get("dedup_window_ns") or 0), aim_ns=int(c.get("aim_ns") or 0),
-            aim_stretch=float(c.get("aim_stretch") or 0), deadline_ns=int(c.get("give_up_ns") or 0),
-            worth=float(_at([c.get("credit")], 0, 1)), late_worth=float(c.get("late_value") or 0),
-            streamed=bool(c.get("stream")), uncacheable=bool(_at(fam.get("goes_through"), n, False)),
-            in_parts=bool(_at(fam.get("multi_part"), n, False)),
-            fresh_ns=int(_at(fam.get("max_age_ns"), n, 0)),
-            grace_ns=int(_at(fam.get("usable_after_ns"), n, 0)),
-            stale_worth=float(_at(fam.get("old_copy_worth"), n, 1)),
-        ))
+        classes.append(
+            i.RequestClass(
+                name=c["name"],
+                effect=effect,
+                group=c.get("group") or "all",
+                window_ns=int(c.get("dedup_window_ns") or 0),
+                aim_ns=int(c.get("aim_ns") or 0),
+                aim_stretch=float(c.get("aim_stretch") or 0),
+                deadline_ns=int(c.get("give_up_ns") or 0),
+                worth=float(_at([c.get("credit")], 0, 1)),
+                late_worth=float(c.get("late_value") or 0),
+                streamed=bool(c.get("stream")),
+                uncacheable=bool(_at(fam.get("goes_through"), n, False)),
+                in_parts=bool(_at(fam.get("multi_part"), n, False)),
+                fresh_ns=int(_at(fam.get("max_age_ns"), n, 0)),
+                grace_ns=int(_at(fam.get("usable_after_ns"), n, 0)),
+                stale_worth=float(_at(fam.get("old_copy_worth"), n, 1)),
+            )
+        )
     zones = tuple(options.get("dcs") or [])
     zone = options.get("az") or ""
     place = zones.index(zone) if zone in zones else 0
     instances = int(options.get("instances") or 1)
     return i.Settings(
-        zone=zone, zones=zones, classes=tuple(classes), seed=seed,
+        zone=zone,
+        zones=zones,
+        classes=tuple(classes),
+        seed=seed,
         limits=i.Limits(
-            may_cancel=bool(lim.get("may_cancel")), may_probe=bool(lim.get("probing")),
-            peers=bool(lim.get("peers")), second_copies=bool(lim.get("second_copies")),
+            may_cancel=bool(lim.get("may_cancel")),
+            may_probe=bool(lim.get("probing")),
+            peers=bool(lim.get("peers")),
+            second_copies=bool(lim.get("second_copies")),
             retry_after=bool(lim.get("retry_after")),
             max_retry_after_ns=int(lim.get("max_retry_after_ns") or 0),
-            max_attempts=int(_at([lim.get("most_tries")], 0, 1)), max_open=int(lim.get("max_open") or 0),
+            max_attempts=int(_at([lim.get("most_tries")], 0, 1)),
+            max_open=int(lim.get("max_open") or 0),
             connect_timeout_ns=int(lim.get("dial_timeout_ns") or 0),
         ),
         rules=i.Rules(
             answer_slack_ns=int(con.get("answer_slack_ns") or 0),
             drain_grace_ns=int(con.get("drain_grace_ns") or 0),
-            cold_from=float(_at([con.get("cold_from")], 0, 1)), cold_ns=int(con.get("cold_ns") or 0),
-            fall_multiple=float(_at([con.get("fall_multiple")], 0, 1)), fall_ns=int(con.get("fall_ns") or 0),
+            cold_from=float(_at([con.get("cold_from")], 0, 1)),
+            cold_ns=int(con.get("cold_ns") or 0),
+            fall_multiple=float(_at([con.get("fall_multiple")], 0, 1)),
+            fall_ns=int(con.get("fall_ns") or 0),
             parent_cold_from=float(_at([fam.get("parent_cold_from")], 0, 1)),
             parent_cold_ns=int(fam.get("parent_warms_in_ns") or 0),
             parent_fall_multiple=float(_at([fam.get("parent_fall_multiple")], 0, 1)),
@@ -74,15 +100,21 @@
             purge_done_ns=int(fam.get("purge_takes_ns") or 0),
             ask_within_ns=int(con.get("ask_within_ns") or 0),
         ),
-        self_index=int(options.get("self_index") or 0), instances=instances,
+        self_index=int(options.get("self_index") or 0),
+        instances=instances,
         zone_instances=max(1, int(_at(fam.get("instances_by_zone"), place, instances))),
         hub_of=tuple(fam.get("hub_of") or []),
         link_kb_per_s=float(_at(fam.get("zone_link_kb_per_s"), place, 0)),
-        pace_kb_per_s=float(fam.get("pace_kb_per_s") or 0), direct=bool(fam.get("may_pass_by")),
-        siblings=fam.get("sideways") or "off", joins=bool(fam.get("merges_fills")),
-        notes=fam.get("notes_given") or "off", discovery=options.get("discovery") or "push",
-        weights=options.get("weight_source") or "off", report_how=rep.get("how") or "off",
-        report_fields=tuple(rep.get("fields") or []), tick_ns=int(options.get("tick_ns") or 1),
+        pace_kb_per_s=float(fam.get("pace_kb_per_s") or 0),
+        direct=bool(fam.get("may_pass_by")),
+        siblings=fam.get("sideways") or "off",
+        joins=bool(fam.get("merges_fills")),
+        notes=fam.get("notes_given") or "off",
+        discovery=options.get("discovery") or "push",
+        weights=options.get("weight_source") or "off",
+        report_how=rep.get("how") or "off",
+        report_fields=tuple(rep.get("fields") or []),
+        tick_ns=int(options.get("tick_ns") or 1),
     )
 
 
@@ -125,18 +157,48 @@
 def event_of(name: str, v: list[Any], inst: Instance, rosters: dict[int, list[list[Any]]]) -> i.Event:
     """One wire event as one of ours."""
     if name == "Sync":
-        entries = () if v[2] == "unavailable" else tuple(
-            i.Server(name=e[0], role=inst.kinds.role(e[2]), zone=e[1], cell=e[3] or 0, state=e[4],
-                     weight=float(_at(e, 5, 1)) or 1.0, started_ns=int(_at(e, 6, 0)))
-            for e in rosters[v[1]])
+        entries = (
+            ()
+            if v[2] == "unavailable"
+            else tuple(
+                i.Server(
+                    name=e[0],
+                    role=inst.kinds.role(e[2]),
+                    zone=e[1],
+                    cell=e[3] or 0,
+                    state=e[4],
+                    weight=float(_at(e, 5, 1)) or 1.0,
+                    started_ns=int(_at(e, 6, 0)),
+                )
+                for e in rosters[v[1]]
+            )
+        )
         return i.ServerList(v[2], entries)
     if name == "Ingress":
-        return i.Request(id=v[1], patience_ns=v[2], retry=bool(v[3]), part=v[4] or 0, write=bool(v[5]),
-                         object=v[6] or 0, group=v[7] or 0, size_kb=v[8] or 0, tenant=str(v[9] or ""),
-                         cls=v[10])
+        return i.Request(
+            id=v[1],
+            patience_ns=v[2],
+            retry=bool(v[3]),
+            part=v[4] or 0,
+            write=bool(v[5]),
+            object=v[6] or 0,
+            group=v[7] or 0,
+            size_kb=v[8] or 0,
+            tenant=str(v[9] or ""),
+            cls=v[10],
+        )
     if name == "AttemptEnd":
-        return i.AttemptEnded(v[1], v[2] or 0, v[3], i.Outcome(v[4]), v[5] or 0, bool(v[6]),
-                              i.Note(v[7] or 0), v[8] or 0, inst.report(_at(v, 9, None)))
+        return i.AttemptEnded(
+            v[1],
+            v[2] or 0,
+            v[3],
+            i.Outcome(v[4]),
+            v[5] or 0,
+            bool(v[6]),
+            i.Note(v[7] or 0),
+            v[8] or 0,
+            inst.report(_at(v, 9, None)),
+        )
     if name == "Streaming":
         return i.AnswerStarted(v[1], v[4] or 0, v[2], v[3] or 0)
     if name == "Abandoned":
