--- a/kelpcroft/core/members.py
+++ b/kelpcroft/core/members.py
@@ -12,13 +12,13 @@
 from kelpcroft.messages import Timer
 from kelpcroft.start.begin import Begin
 from kelpcroft.start.listing import Listing
-from kelpcroft.start.lists import IN_SERVICE, View
+from kelpcroft.start.lists import View
 from kelpcroft.start.watch import Watch, bounded
 from zincgrade import interface as api
 from zincgrade.estimate import mix
 
 if TYPE_CHECKING:  # imported where a file switches it on
-    from kelpcroft.controllog.subscription import Outcome, Subscription
+    from kelpcroft.core.replica_feed import ReplicaFeed
     from kelpcroft.operator.model import Replicas
 
 EMPTY_ANSWERS_MOST = 3  # in a row, that came at once with nothing new; more are no answers
@@ -42,7 +42,7 @@
         self.called_ns = self.called_at = 0  # when the feed was last called, from which event
         self.parts = self.past = 0  # events of a long answer; purges left out of it
         self.replicas: Replicas | None = None  # told by the operator's file
-        self.subscription: Subscription | None = None  # to them, in place of the feed
+        self.replica_feed: ReplicaFeed | None = None  # of them, in place of the configuration's feed
         self.empty_answers = 0  # answers in a row that came at once with nothing
         self.hasty = False  # the last call was to be answered at once
 
@@ -73,86 +73,21 @@
             return
         self.replicas, self.listing.failures = replicas, 0
         if replicas is None:
-            self.subscription, self.view.seen = None, 0
+            self.replica_feed, self.view.seen = None, 0
             self.state.effects.append(m.Move(self.feed_at))
             self.call()
             return
-        from kelpcroft.controllog.subscription import Subscription
+        from kelpcroft.core.replica_feed import ReplicaFeed
 
-        seed = mix(self.state.own ^ self.state.now)
-        self.subscription = Subscription(self.state.now, replicas.addresses, replicas.stale_ns, seed)
-        self.state.effects.append(m.Move(self.subscription.address))
-        self.call_in(self.subscription.sources.soon())
-
-    def on_replica_news(self, subscription: Subscription, news: m.News) -> None:
-        """An answer of a control replica.  Its snapshots are bounded: what comes in pieces is not from
-        one."""
-        from kelpcroft.controllog.follower import Head
-
-        if news.more:
-            self.parts += 1
-            return
-        whole = any(isinstance(event, m.Members) and event.whole for event in news.events)
-        head = Head(news.last, news.mark, 0 if self.parts else news.as_of_ms, whole)
-        self.parts = 0
-        self.use(subscription.answered(self.state.now, head), news, whole)
-
-    def use(self, outcome: Outcome, news: m.News, whole: bool) -> None:
-        """Take of a replica's answer what its verdict allows, and go on."""
-        assert self.subscription is not None
-        if outcome.verdict.value == "take":
-            if whole:
-                self.view.seen = 0  # of another log: what it says now is all that counts
-            self.view.answer(max(self.seen, news.last))
-            self.take_events(news)
-            self.view.seen = news.last
-        elif outcome.verdict.value == "departures":
-            self.take_departures(news)
-        if outcome.next.value == "move":
-            self.move_on(outcome.why)
-        else:
-            if outcome.next.value == "home":
-                self.state.effects.append(m.Move(self.subscription.address))
-            self.call()
-
-    def take_departures(self, news: m.News) -> None:
-        """Of a state that may be earlier than what is known: its purges, and known servers that go."""
-        for event in news.events:
-            if isinstance(event, m.Purge):
-                self.take_purge(event)
-                continue
-            known = self.view.lines
-            going = [
-                e
-                for e in event.endpoints
-                if e.state != IN_SERVICE and e.name in known and e.started_ns >= known[e.name].started_ns
-            ]
-            if going and not self.foreign(event):
-                self.view.take(going, False)
-                self.on_members(m.Members(False, tuple(going), event.number))
-
-    def move_on(self, why: str) -> None:
-        """Leave a replica for the next one."""
-        assert self.subscription is not None
-        host, port = self.subscription.address
-        if not self.subscription.sources.failures:
-            self.state.log(
-                "replica.left",
-                f"control replica {host}:{port} is left: {why}",
-                "warning",
-                {"replica": f"{host}:{port}", "why": why},
-            )
-        self.parts = 0
-        wait_ns = self.subscription.moved(self.state.now)
-        self.state.effects.append(m.Move(self.subscription.address))
-        self.call_in(wait_ns)
+        self.replica_feed = ReplicaFeed(self, replicas, mix(self.state.own ^ self.state.now))
+        self.replica_feed.begin()
 
     def on_news(self, news: m.News) -> None:
         """An answer of the feed; then the next call at once, as what the feed has counts as heard.  One that
         comes at once with nothing new, again and again, is no answer: it would be asked for in a loop.  One
         that counts anew costs a fleet two calls each: under a budget the second is spread as well."""
-        if self.subscription is not None:
-            self.on_replica_news(self.subscription, news)
+        if self.replica_feed is not None:
+            self.replica_feed.on_news(news)
             return
         if news.more:
             self.take_piece(news)
@@ -211,10 +146,10 @@
 
     def poll(self, wait_ms: int, late_ns: int) -> None:
         """One call, for what comes after the last event."""
-        if self.subscription is None:
+        if self.replica_feed is None:
             self.state.effects.append(m.Poll(self.seen, wait_ms, late_ns))
             return
-        position = self.subscription.asks()
+        position = self.replica_feed.subscription.asks()
         self.state.effects.append(m.Poll(position.number, wait_ms, late_ns, position.mark))
 
     def watch(self) -> Watch:
@@ -332,8 +267,8 @@
     def on_feed_lost(self, lost: m.FeedLost) -> None:
         """A call failed: the list and purges known so far stay as they are, and the feed is called again, at
         once or in a while (``start/listing.py``), or another replica is."""
-        if self.subscription is not None:
-            self.move_on(lost.why)
+        if self.replica_feed is not None:
+            self.replica_feed.move_on(lost.why)
             return
         if not self.listing.failures:
             self.state.log("feed.lost", f"feed: {lost.why}", "warning", {"why": lost.why})
@@ -346,7 +281,7 @@
         twice.  What is said of it in the log."""
         if feed == self.feed_at:
             return "the feed stays where it is"
-        if self.subscription is not None:
+        if self.replica_feed is not None:
             self.feed_at = feed
             return "the feed is not called: control replicas are named"
         self.feed_at, self.listing.failures = feed, 0
--- /dev/null
+++ b/kelpcroft/core/replica_feed.py
@@ -0,0 +1,92 @@
+"""The list of servers and the purges as control replicas tell them, in place of the configuration's feed.
+
+Imported only where the operator's file names replicas.  What an answer is good for and which replica is
+called next is ``kelpcroft.controllog``'s; this part carries it out on the state that ``core.members`` owns.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kelpcroft import messages as m
+from kelpcroft.controllog.follower import Head, Verdict
+from kelpcroft.controllog.subscription import Next, Subscription
+from kelpcroft.start.lists import IN_SERVICE
+
+if TYPE_CHECKING:
+    from kelpcroft.core.members import Members
+    from kelpcroft.operator.model import Replicas
+
+
+class ReplicaFeed:
+    """One router's watch on control replicas."""
+
+    def __init__(self, members: Members, replicas: Replicas, seed: int) -> None:
+        """``seed``: another for each router and each of its starts."""
+        self.members, self.state = members, members.state
+        self.subscription = Subscription(self.state.now, replicas.addresses, replicas.stale_ns, seed)
+        self.pieces = 0  # of an answer that came in pieces: it is no replica's, whose answers are bounded
+
+    def begin(self) -> None:
+        """The first call."""
+        self.state.effects.append(m.Move(self.subscription.address))
+        self.members.call_in(self.subscription.sources.soon())
+
+    def on_news(self, news: m.News) -> None:
+        """An answer: what its verdict allows is taken, and the next call follows."""
+        if news.more:
+            self.pieces += 1
+            return
+        whole = any(isinstance(event, m.Members) and event.whole for event in news.events)
+        head = Head(news.last, news.mark, 0 if self.pieces else news.as_of_ms, whole)
+        self.pieces = 0
+        outcome = self.subscription.answered(self.state.now, head)
+        if outcome.verdict is Verdict.TAKE:
+            self.take(news, whole)
+        elif outcome.verdict is Verdict.DEPARTURES:
+            self.take_departures(news)
+        if outcome.next is Next.MOVE:
+            self.move_on(outcome.why)
+            return
+        if outcome.next is Next.HOME:
+            self.state.effects.append(m.Move(self.subscription.address))
+        self.members.call()
+
+    def take(self, news: m.News, whole: bool) -> None:
+        """The events as they stand.  A whole list may be of another log, whose numbers are lower."""
+        view = self.members.view
+        if whole:
+            view.seen = 0
+        view.answer(max(view.seen, news.last))
+        self.members.take_events(news)
+        view.seen = news.last
+
+    def take_departures(self, news: m.News) -> None:
+        """Of a state that may be earlier than what is known: its purges, and known servers that go."""
+        known = self.members.view.lines
+        for event in news.events:
+            if isinstance(event, m.Purge):
+                self.members.take_purge(event)
+                continue
+            going = tuple(
+                line
+                for line in event.endpoints
+                if line.state != IN_SERVICE
+                and line.name in known
+                and line.started_ns >= known[line.name].started_ns
+            )
+            if going and not self.members.foreign(event):
+                self.members.view.take(going, False)
+                self.members.on_members(m.Members(False, going, event.number))
+
+    def move_on(self, why: str) -> None:
+        """Leave a replica for the next one."""
+        host, port = self.subscription.address
+        if not self.subscription.sources.failures:
+            fields: dict[str, object] = {"replica": f"{host}:{port}", "why": why}
+            text = f"control replica {host}:{port} is left: {why}"
+            self.state.log("replica.left", text, "warning", fields)
+        self.pieces = 0
+        wait_ns = self.subscription.moved(self.state.now)
+        self.state.effects.append(m.Move(self.subscription.address))
+        self.members.call_in(wait_ns)
--- a/kelplab/hollow/routers.py
+++ b/kelplab/hollow/routers.py
@@ -95,13 +95,13 @@
         seen = [router.seen for router in self.routers]
         for router in self.routers:
             router.seen = router.seen[-1:]
-        members = [r.loop.reducer.members for r in self.routers]
+
         return {
             "cpu_s": times.user + times.system,
             "memory_kb": pages * os.sysconf("SC_PAGE_SIZE") // 1024,
             "seen": seen,
             "in_service": [len(r.loop.reducer.state.endpoints) for r in self.routers],
-            "at": [m.feed_at[1] for m in members],
+            "at": [r.loop.feed_at[1] for r in self.routers],
             "now_ns": time.time_ns(),
         }
 
