--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -19,7 +19,7 @@
 
 
 def filled(text: str) -> str:
-    """``table SWEEP FIGURE[*FACTOR][:DIGITS] ...`` as a table, ``value SWEEP X FIGURE...`` as one figure, and
+    """``table SWEEP FIGURE[*FACTOR][:DIGITS][=HEAD] ...`` as a table, ``value SWEEP X FIGURE...`` as one figure, and
     ``slope SWEEP FIGURE`` as a slope with its intercept and residual."""
     what, name, *words = text.split()
     path = FOLDER / f"{name}.json"
@@ -45,6 +45,7 @@
 
 def read(word: str) -> tuple[str, float, int]:
     """A figure's name, what it is multiplied by, and its digits behind the point."""
+    word, _, _ = word.partition("=")
     word, _, digits = word.partition(":")
     key, _, factor = word.partition("*")
     return key, float(factor or 1), int(digits or 0)
@@ -61,9 +62,15 @@
     return middle if least == most else f"{middle} ({least} to {most})"
 
 
+def head(word: str) -> str:
+    """A column's head: what stands behind ``=``, else the figure's name."""
+    word, _, label = word.partition("=")
+    return label.replace("_", " ") or read(word)[0]
+
+
 def table(told: dict[str, Any], words: list[str]) -> str:
     """Rows by the sweep's quantity."""
-    heads = [told["by"], *(word.partition(":")[0].partition("*")[0] for word in words)]
+    heads = [told["by"], *map(head, words)]
     lines = ["| " + " | ".join(heads) + " |", "| " + " | ".join("---" for _ in heads) + " |"]
     for row in told["rows"]:
         cells = [f"{row['x']:g}", *(shown(row["figures"], word) for word in words)]
--- a/kelpcroft/controllog/sources.py
+++ b/kelpcroft/controllog/sources.py
@@ -1,6 +1,7 @@
 """Which of several replicas is called, and when the next one is.  Pure.
 
-Each follower has a home among the addresses, by its own seed, so that a fleet is spread evenly.  After a
+Each follower has an order of its own among the addresses, by its seed, and its home is the first: so a fleet is
+spread evenly, and so are those who leave a dead replica.  After a
 failure (silence, a refusal, a stale or a late state) it moves to the next address: soon, at a random
 moment, so that a dead replica's followers do not arrive together.  Once all have failed, calls are made at
 the pace of AGAIN_NS, however long that lasts.  Away from home it goes back after a while: else a replica
@@ -28,8 +29,9 @@
     def __init__(self, addresses: tuple[Address, ...], seed: int) -> None:
         """At least one address; ``seed``: another for each follower."""
         self.random = Random(seed)
-        self.addresses = addresses
-        self.home = self.at = self.random.randrange(len(addresses))
+        self.addresses = list(addresses)
+        self.random.shuffle(self.addresses)
+        self.home = self.at = 0
         self.failures = 0
         self.home_at_ns = 0  # away from home: when it is tried again
 
--- a/tests/test_control_log.py
+++ b/tests/test_control_log.py
@@ -111,8 +111,16 @@
 
     def test_sources_spread_move_and_go_home(self) -> None:
         addresses = tuple((f"10.0.0.{n}", 1) for n in range(4))
-        homes = [Sources(addresses, seed).home for seed in range(400)]
-        self.assertTrue(all(60 < homes.count(n) < 140 for n in range(4)), "evenly")
+        found = [Sources(addresses, seed) for seed in range(400)]
+        homes = [sources.address for sources in found]
+        self.assertTrue(all(60 < homes.count(address) < 140 for address in addresses), "evenly")
+        left = [sources for sources in found if sources.address == addresses[0]]
+        for sources in left:
+            sources.failed(NOW)
+        moved = [sources.address for sources in left]
+        self.assertTrue(
+            all(moved.count(address) > len(left) // 5 for address in addresses[1:]), "so are they"
+        )
         sources = Sources(addresses, 7)
         waits = [sources.failed(NOW) for _ in range(40)]
         self.assertTrue(all(0 <= w < SPREAD_NS for w in waits[:3]))
