--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -92,6 +92,20 @@
                 for n in at(50, 150, 300, 590)
             },
         ),
+        "real": (
+            "routers",
+            {
+                n: lambda n=n: feed.real(Size(routers=int(n)), RATE, s, COMPILED)  # type: ignore[misc]
+                for n in at(8, 24, 60)
+            },
+        ),
+        "hollow": (
+            "routers",
+            {
+                n: lambda n=n: feed.spread(Size(routers=int(n)), RATE, s)  # type: ignore[misc]
+                for n in at(8, 24, 60)
+            },
+        ),
         "purges": (
             "purges_per_s",
             {
--- a/benchmarks/capacity/feed.py
+++ b/benchmarks/capacity/feed.py
@@ -126,6 +126,30 @@
     }
 
 
+def real(size: Size, rate: float, seconds: float, program: Path) -> dict[str, Any]:
+    """Routers as `run` starts them under a rate of purges: the same counts and costs as of hollow ones."""
+    with ExitStack() as stack:
+        service, scratch = stack.enter_context(list_service(size)), stack.enter_context(folder())
+        at = f"127.0.0.1:{service.first['port']}"
+        routers = [
+            stack.enter_context(RealRouter(size, n, at, program, scratch)) for n in range(size.routers)
+        ]
+        assert wait_for(lambda: service.ask(do="stats")["watches"] == size.routers, 60)
+        time.sleep(SETTLE_S)
+        before, cpu = service.ask(do="stats"), sum(router.cpu_s() for router in routers)
+        began = time.monotonic()
+        service.ask(do="purge", rate=rate, seconds=seconds)
+        time.sleep(seconds)
+        after, took = service.ask(do="stats"), time.monotonic() - began
+        spent = sum(router.cpu_s() for router in routers) - cpu
+        memory = sum(router.memory_kb() for router in routers) / size.routers
+        return {
+            **counted(size, before, after, took),
+            "router_cpu_share": spent / took / size.routers,
+            "router_memory_kb": memory,
+        }
+
+
 def behind(
     events: int, age_s: float, program: Path, longest_s: float, rules: str = "", size: Size = ONE
 ) -> dict[str, Any]:
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -19,8 +19,8 @@
 
 
 def filled(text: str) -> str:
-    """``table SWEEP FIGURE[*FACTOR][:DIGITS][=HEAD] ...`` as a table, ``value SWEEP X FIGURE...`` as one figure, and
-    ``slope SWEEP FIGURE`` as a slope with its intercept and residual."""
+    """``table SWEEP FIGURE[*FACTOR][:DIGITS][=HEAD] ...`` as a table, ``value SWEEP X FIGURE...`` as a
+    figure, and ``slope SWEEP FIGURE`` as a slope with its intercept and residual."""
     what, name, *words = text.split()
     path = FOLDER / f"{name}.json"
     if not path.exists():
--- a/kelpcroft/controllog/sources.py
+++ b/kelpcroft/controllog/sources.py
@@ -1,11 +1,11 @@
 """Which of several replicas is called, and when the next one is.  Pure.
 
-Each follower has an order of its own among the addresses, by its seed, and its home is the first: so a fleet is
-spread evenly, and so are those who leave a dead replica.  After a
-failure (silence, a refusal, a stale or a late state) it moves to the next address: soon, at a random
-moment, so that a dead replica's followers do not arrive together.  Once all have failed, calls are made at
-the pace of AGAIN_NS, however long that lasts.  Away from home it goes back after a while: else a replica
-that was restarted would stay without followers.
+Each follower has an order of its own among the addresses, by its seed, and its home is the first: so a
+fleet is spread evenly, and so are those who leave a dead replica.  After a failure (silence, a refusal, a
+stale or a late state) it moves to the next address: soon, at a random moment, so that a dead replica's
+followers do not arrive together.  Once all have failed, calls are made at the pace of AGAIN_NS, however
+long that lasts.  Away from home it goes back after a while: else a replica that was restarted would stay
+without followers.
 
 Times are nanoseconds; the time is an argument.
 """
