--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -95,7 +95,7 @@
         "real": (
             "routers",
             {
-                n: lambda n=n: feed.real(Size(routers=int(n)), RATE, s, COMPILED)  # type: ignore[misc]
+                n: lambda n=n: feed.real(Size(routers=int(n)), RATE, 3 * s, COMPILED)  # type: ignore[misc]
                 for n in at(8, 24, 60)
             },
         ),
