--- a/kelplab/hollow/processes.py
+++ b/kelplab/hollow/processes.py
@@ -20,6 +20,7 @@
 from kelplab.standin import ROOT
 
 EACH_PROCESS = 100  # hollow routers in one process
+TICK_S = os.sysconf("SC_CLK_TCK")
 
 
 class Asked:
@@ -228,10 +229,19 @@
             return False
         return True
 
-    def cpu_s(pid: int) -> float:
-    """Processor time of a process of one thread so far.  ``stat`` counts in ticks, which are too coarse for a
-    router that spends a thousandth of a core."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    def cpu_s(self) -> float:
+        """Processor time so far."""
+        return cpu_s(self.process.pid)
+
+    def memory_kb(self, most: bool = False) -> int:
+        """Resident memory now, or the most that it has had."""
+        return memory_kb(self.process.pid, most)
+
+
+def cpu_s(pid: int) -> float:
+    """Processor time of a process so far."""
+    parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(parts[11]) + int(parts[12])) / TICK_S
 
 
 def memory_kb(pid: int, most: bool = False) -> int:
