--- a/kelplab/field/builds.py
+++ b/kelplab/field/builds.py
@@ -125,8 +125,8 @@
     "never-ready": (
         (
             "kelpcroft/core/reducer.py",
-            '        return ("ending" if self.ending',
-            ('        return ("never" if True else "ending" if self.ending'),
+            '            "ending"\n            if self.ending\n',
+            '            "never"\n            if True\n            else "ending"\n            if self.ending\n',
         ),
     ),
 }
--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from kelplab.field import Field, Load, Mode, Relay, Watch, build
+from kelplab.field.builds import DEFECTS
 from kelplab.standin import MS, Reply, Seen
 
 SHORT = {"contract": {"cold_ns": 10_000 * MS, "fall_ns": 500 * MS, "cold_from": 0.05}}
@@ -124,6 +125,15 @@
         self.assertEqual(got, b"last")
 
 
+class Builds(unittest.TestCase):
+    def test_each_defect_fits_the_sources(self) -> None:
+        """Also those of the long tests: an anchor that is not there is said at once."""
+        with tempfile.TemporaryDirectory() as name:
+            for number, defect in enumerate(DEFECTS):
+                with self.subTest(defect=defect):
+                    build(Path(name) / str(number), defect)
+
+
 class Judged(unittest.TestCase):
     """Real routers, and what a feed may tell in a few seconds."""
 
--- a/tests/test_replica_file.py
+++ b/tests/test_replica_file.py
@@ -4,6 +4,7 @@
 
 import unittest
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from click.testing import CliRunner
 from hypothesis import given, settings
@@ -65,10 +66,11 @@
         self.assertIn(
             "1000 watchers at 127.0.0.1:7100 from 127.0.0.1:9400; a purge matters for 66 s", told.output
         )
-        with CliRunner().isolated_filesystem():
-            Path("bad.kdl").write_text("control-replica version=1\n")
-            self.assertEqual(run(main, ["control-replica", "bad.kdl", "--config", CONFIG]).exit_code, 1)
-            self.assertEqual(run(main, ["control-replica", "none.kdl", "--config", CONFIG]).exit_code, 2)
+        with TemporaryDirectory() as folder:
+            bad, none = Path(folder) / "bad.kdl", Path(folder) / "none.kdl"
+            bad.write_text("control-replica version=1\n")
+            self.assertEqual(run(main, ["control-replica", str(bad), "--config", CONFIG]).exit_code, 1)
+            self.assertEqual(run(main, ["control-replica", str(none), "--config", CONFIG]).exit_code, 2)
 
 
 class Wire(unittest.TestCase):
