--- a/kelplab/field/builds.py
+++ b/kelplab/field/builds.py
@@ -126,7 +126,8 @@
         (
             "kelpcroft/core/reducer.py",
             '            "ending"\n            if self.ending\n',
-            '            "never"\n            if True\n            else "ending"\n            if self.ending\n',
+            '            "never"\n            if True\n'
+            '            else "ending"\n            if self.ending\n',
         ),
     ),
 }
