--- a/tests/test_control_field.py
+++ b/tests/test_control_field.py
@@ -140,6 +140,33 @@
         self.assertEqual(set(field.routers.ask()["in_service"]), {SIZE.servers - 1}, "nothing is forgotten")
 
 
+class Counts(unittest.TestCase):
+    def test_calls_bytes_and_state_of_a_small_fleet(self) -> None:
+        """30 purges at 10 a second: what the list service hears goes with replicas and purges, what a replica
+        hears with its routers and the batch; none of it with the other.  Counts only, no times."""
+        purges, rate = 30, 10.0
+        with ControlField(SIZE, 2) as field:
+            self.assertTrue(field.in_step(1, SIZE.servers))
+            before = field.service.ask(do="stats")
+            states = [replica.state() or {} for replica in field.replicas]
+            told = field.service.ask(do="purge", rate=rate, seconds=purges / rate)
+            self.assertTrue(field.in_step(purges + 1, SIZE.servers))
+            after = field.service.ask(do="stats")
+            now = [replica.state() or {} for replica in field.replicas]
+            took_s = (after["now_ns"] - before["now_ns"]) / 1e9
+            self.assertEqual((after["n"], told["until_ns"] > 0), (purges + 1, True))
+            calls = after["calls"] - before["calls"]
+            self.assertLessEqual(calls, 2 * (purges + 2 * took_s + 2))
+            self.assertLessEqual(after["bytes_out"] - before["bytes_out"], calls * 60 + 2 * purges * 100)
+            answers = sum(b["answers"] - a["answers"] for a, b in zip(states, now, strict=True))
+            self.assertLessEqual(answers, SIZE.routers * (2.5 * took_s + 2))
+            sent = sum(b["bytes_out"] - a["bytes_out"] for a, b in zip(states, now, strict=True))
+            snapshots = sum(b["snapshots"] - a["snapshots"] for a, b in zip(states, now, strict=True))
+            self.assertLessEqual(sent, answers * 90 + SIZE.routers * purges * 100 + snapshots * 12_000)
+            self.assertEqual({s["purges"] for s in now}, {purges})
+            self.assertEqual({s["servers"] for s in now}, {SIZE.servers})
+
+
 class UnderLoad(unittest.TestCase):
     def test_rules_hold_while_a_replica_dies_and_a_server_drains(self) -> None:
         """Routers with clients and servers: on the event of the drain the replica of half of them is
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -138,6 +138,16 @@
     return m.Endpoint(name, at, "edge-1", "box", 0, state, 1.0, started)
 
 
+class Wasted(unittest.TestCase):
+    def test_bytes_that_brought_nothing_are_waited_for(self) -> None:
+        """Up to 256 KB is a mishap; more is paid for at 64 KB a second, a minute at the most."""
+        for wasted, due in ((0, 0), (256 << 10, 0), (1 << 20, 16 * SECOND), (1 << 30, 60 * SECOND)):
+            with self.subTest(wasted=wasted):
+                x = Listing(10, 1)
+                self.assertEqual(x.failed(wasted=wasted), due)
+                self.assertGreaterEqual(x.failed(wasted=wasted), due)
+
+
 class Lists(unittest.TestCase):
     def setUp(self) -> None:
         self.view = View()
