Replicas and list services that answer at once with nothing are not asked in a loop

Seen on reading again: a replica that ignores its callers' positions, or a list service that repeats itself, would be called as fast as it answers; the feed's own path has had such a guard. Change: a router leaves a replica after the third such answer in a row; a replica waits a batch before it asks upstream again unless an answer holds an event past those it knows. Two tests, in virtual time.

--- a/kelpcroft/controllog/replica.py
+++ b/kelpcroft/controllog/replica.py
@@ -175,7 +175,7 @@
 
     def on_upstream(self, now: int, feed: Feed) -> list[Effect]:
         """An answer from upstream, in whole or in pieces."""
-        self.effects, self.told = [], bool(feed.events) or feed.last != self.log.last
+        self.effects, self.told = [], self.brings(feed)
         if self.sources.address in self.options.peers:
             self.on_peer(now, feed)
         else:
@@ -184,6 +184,11 @@
         self.review(now)
         return self.effects
 
+    def brings(self, feed: Feed) -> bool:
+        """Whether an answer holds an event past those that are known, or begins another state."""
+        numbers = [raw["n"] for raw in feed.events if isinstance(raw, dict) and type(raw.get("n")) is int]
+        return self.follower.resync or max([feed.last, *numbers]) > self.log.last
+
     def on_list_service(self, now: int, feed: Feed) -> None:
         """The list service's answer is complete as of the call; its numbers go back when it was restarted."""
         f = self.follower
--- a/kelpcroft/core/replica_feed.py
+++ b/kelpcroft/core/replica_feed.py
@@ -18,6 +18,9 @@
     from kelpcroft.operator.model import Replicas
 
 
+EMPTY_ANSWERS_MOST = 3  # a first state that is doubtful, and two that cross a move, are not taken for a loop
+
+
 class ReplicaFeed:
     """One router's watch on control replicas."""
 
@@ -25,6 +28,7 @@
         """``seed``: another for each router and each of its starts."""
         self.members, self.state = members, members.state
         self.subscription = Subscription(self.state.now, replicas.addresses, replicas.stale_ns, seed)
+        self.empty_answers = 0  # in a row, that came at once with nothing new
         self.pieces = 0  # of an answer that came in pieces: it is no replica's, whose answers are bounded
 
     def begin(self) -> None:
@@ -40,6 +44,9 @@
         whole = any(isinstance(event, m.Members) and event.whole for event in news.events)
         head = Head(news.last, news.mark, 0 if self.pieces else news.as_of_ms, whole)
         self.pieces = 0
+        if self.is_no_answer(news):
+            self.move_on("it answers at once with nothing")
+            return
         outcome = self.subscription.answered(self.state.now, head)
         if outcome.verdict is Verdict.TAKE:
             self.take(news, whole)
@@ -52,6 +59,15 @@
             self.state.effects.append(m.Move(self.subscription.address))
         self.members.call()
 
+    def is_no_answer(self, news: m.News) -> bool:
+        """Whether answers came at once with nothing new, too often in a row: a replica that is well waits,
+        and this one would be asked in a loop."""
+        members = self.members
+        fresh = bool(news.events) or news.last != members.seen
+        quick = not members.hasty and self.state.now - members.called_ns < members.watch().wait_ns // 2
+        self.empty_answers = 0 if fresh or not quick else self.empty_answers + 1
+        return self.empty_answers > EMPTY_ANSWERS_MOST
+
     def take(self, news: m.News, whole: bool) -> None:
         """The events as they stand.  A whole list may be of another log, whose numbers are lower."""
         view = self.members.view
@@ -86,7 +102,7 @@
             fields: dict[str, object] = {"replica": f"{host}:{port}", "why": why}
             text = f"control replica {host}:{port} is left: {why}"
             self.state.log("replica.left", text, "warning", fields)
-        self.pieces = 0
+        self.pieces = self.empty_answers = 0
         wait_ns = self.subscription.moved(self.state.now)
         self.state.effects.append(m.Move(self.subscription.address))
         self.members.call_in(wait_ns)
--- a/tests/test_control_log.py
+++ b/tests/test_control_log.py
@@ -7,11 +7,16 @@
 
 import orjson
 
+from kelpcroft import messages as m
+from kelpcroft.config import parse
 from kelpcroft.controllog import log as control_log
 from kelpcroft.controllog.follower import Follower, Head, Position, Verdict
 from kelpcroft.controllog.log import ControlLog, LogFull, canonical, mark_of
-from kelpcroft.controllog.replica import Answer, Feed, Options, Refuse, Replica, Watch
+from kelpcroft.controllog.replica import Answer, CallUpstream, Feed, Options, Refuse, Replica, Watch
 from kelpcroft.controllog.sources import AGAIN_NS, HOME_NS, SPREAD_NS, Sources
+from kelpcroft.core.reducer import Reducer
+from kelpcroft.operator.model import Replicas
+from kelplab.hollow.configuration import Size, configuration
 
 MS, SECOND = 10**6, 10**9
 NOW = 1_764_576_000 * SECOND
@@ -196,6 +201,15 @@
         told = [e for e in replica.on_due(NOW + SECOND) if isinstance(e, Answer)]
         self.assertEqual(orjson.loads(told[0].body)["events"], [])
 
+    def test_a_list_service_that_repeats_itself_is_not_asked_in_a_loop(self) -> None:
+        replica, now, calls = self.replica(), NOW, 0
+        effects = replica.on_upstream(now, Feed(1, (whole(1, "a"),)))
+        while now < NOW + 10 * SECOND:
+            call = next(e for e in effects if isinstance(e, CallUpstream))
+            now, calls = now + call.delay_ns + MS, calls + 1
+            effects = replica.on_upstream(now, Feed(1, (whole(1, "a"),)))
+        self.assertLess(calls, 10 * SECOND // replica.options.batch_ns + 5)
+
     def test_a_history_in_pieces(self) -> None:
         replica = Replica(Options((UPSTREAM,)), 1)
         replica.start(NOW)
@@ -205,5 +219,23 @@
         self.assertEqual((replica.log.last, replica.stale, len(replica.log.purges)), (3, False, 2))
 
 
+class AtARouter(unittest.TestCase):
+    def test_a_replica_that_answers_at_once_with_nothing_is_left(self) -> None:
+        raw = configuration(Size(4, 12, 2), 0, "10.0.0.9:1", "127.0.0.1:1", "127.0.0.1:2")
+        reducer = Reducer(parse(raw, {}))
+        addresses = (("10.0.0.1", 1), ("10.0.0.2", 1))
+        effects, now, polls = reducer.start(NOW, None, 0, Replicas(addresses)), NOW, 0
+        moved = [e.feed for e in effects if isinstance(e, m.Move)]
+        self.assertIn(moved[0], addresses)
+        effects = reducer.handle(now, m.Due((m.Timer.FEED, 0, 0)))
+        while any(isinstance(e, m.Poll) for e in effects) and polls < 50:
+            now, polls = now + 2 * MS, polls + 1
+            news = m.News(1, (), mark="aa", as_of_ms=now // MS)
+            effects = reducer.handle(now, news)
+        self.assertLess(polls, 10)
+        self.assertEqual([e.event for e in effects if isinstance(e, m.Log)], ["replica.left"])
+        self.assertEqual(len([e for e in effects if isinstance(e, m.Move)]), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
