Review case 3: purged copies are served after an upgrade while the list service stalls

No purged copy may be served.

What: review/3 upgrades a router on its inherited socket while the list service stalls, purges objects before the new process says yes, and requests them. The stand-ins can now hold the listening socket, start a successor and stall the list service. Case 2 also checks for second answers. Nothing is fixed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -54,9 +54,9 @@
     if run.router.exit_code() is not None:
         breaches.append(f"the router crashed: exit code {run.router.exit_code()}, without a signal to end")
     breaches += [
-        f"request {sent.request_id} of {sent.request_class} got no answer: {sent.lost or 'none came'}"
+        f"request {sent.request_id} of {sent.request_class} got {len(sent.answers)} answers: {sent.lost}"
         for sent in run.sent()
-        if not sent.answers
+        if len(sent.answers) != 1
     ]
     return breaches
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,64 +1,112 @@
-"""A client writes a request slowly, in pieces, while an earlier request of the same connection is open.
+"""An upgrade while the list service stalls: objects that were purged before it are served from old copies.
 
-The earlier request is answered by its cache after 2.6 s, as after a long fill.  The pieces of the slow
-request follow each other every 0.4 s.
+A process of the router runs and receives a purge.  The platform starts the successor on the same listening
+socket; the list service stalls meanwhile, and further objects are purged.  Once the successor says yes, the
+predecessor gets SIGTERM.  The caches hold old copies until 5.5 s after each purge.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
+from dataclasses import dataclass
 
 import world
-from world import Command, Reply, World
+from world import CaseError, Command, Reply, World, unix_ms
 
-CLIENTS = 3
-FILL_S = 2.6
+PURGE_INTERVAL_S = 0.2
+MAX_START_S = 2.0  # the stall stays under 8 s if the successor is ready by then
+TOLD_AFTER_YES_MS = 2_000  # news counts as told this long after the successor's yes
+PURGE_GRACE_MS = 300
+SOCKET_SLACK_MS = 50  # every time limit is this much longer on sockets
+MAX_WAY_MS = 100  # a command that arrives was sent at most this long before
+DROPPED_AFTER_MS = 5_500  # the caches drop older copies by themselves within 6 s
+SENDING_AFTER_YES_S = 5.5
+REQUEST_INTERVAL_S = 0.05
 VIDEO_PATIENCE_S = 6.0
-ORDER_PATIENCE_S = 3.0
-ORDER_BODY = b"x" * 40_000  # a write carries up to 48,000 bytes
-PIECES = 7
-PIECE_INTERVAL_S = 0.4
-ANSWER_LIMIT_S = VIDEO_PATIENCE_S + 0.5
+
+
+@dataclass
+class OldCopy:
+    """An old copy that a cache served.
+
+    Attributes:
+        command: The command that it served.
+        purged_ms: When its object was purged, in Unix ms.
+        arrived_ms: When the command arrived at the cache, in Unix ms.
+    """
+
+    command: Command
+    purged_ms: int
+    arrived_ms: int
+
+
+copies_made_ms = unix_ms()  # when the origin gave out the copies that the caches hold
+purged_ms: dict[str, int] = {}  # time of the purge of each purged object, in Unix ms
+served_copies: list[OldCopy] = []
 
 
 def script(command: Command) -> Reply:
-    """Videos are answered when their fill has come, orders soon."""
-    if command.fields["cls"] == "recipe-video":
-        return Reply("DONE", FILL_S, "parent", b"x" * 20_000)
-    return Reply("DONE", 0.05, "origin", b"confirmed")
-
-
-async def write_order(run: World, client: world.Client, pieces: int) -> None:
-    """Write an order in pieces; it is taken once the last one is written."""
-    number, sent, data = client.encode("order-place", ORDER_PATIENCE_S, ORDER_BODY)
-    size = -(-len(data) // pieces)
-    for start in range(0, len(data), size):
-        if start:
-            await asyncio.sleep(PIECE_INTERVAL_S)
-        if client.has_ended:
-            run.record.note(f"{client.name} stops writing order {sent.request_id}: its connection has ended")
-            return
-        await client.write(data[start : start + size])
-        run.record.note(f"{client.name} wrote a piece of order {sent.request_id}")
-    client.enter(number, sent)
+    """A cache serves its old copy if the command allows its age, until it drops the copy by itself."""
+    now_ms = unix_ms()
+    item = command.fields["item"]
+    max_age_ms = int(command.fields.get("agelim", "0"))
+    is_held = item not in purged_ms or now_ms - purged_ms[item] < DROPPED_AFTER_MS
+    if is_held and (not max_age_ms or now_ms - copies_made_ms <= max_age_ms):
+        if item in purged_ms:
+            served_copies.append(OldCopy(command, purged_ms[item], now_ms))
+        return Reply("DONE", 0.005, "mem", b"old copy", made_ms=copies_made_ms)
+    return Reply("DONE", 0.02, "origin", b"new copy")
+
+
+def purge(run: World, objects: list[str]) -> None:
+    """Purge one more object at the origin, and tell the list service."""
+    item = f"{len(objects) + 1:016x}"
+    objects.append(item)
+    purged_ms[item] = unix_ms()
+    run.list_service.tell(purge={"key": item, "at": purged_ms[item]})
+    run.record.note(f"{item} is purged; the list service is {'stalled' if run.has_trouble else 'well'}")
 
 
 async def case(run: World) -> list[str]:
-    """Each client sends a video request, then an order; each taken request must have an answer."""
-    clients = [await run.client(f"client{number}") for number in range(1, CLIENTS + 1)]
-    for client in clients:
-        await client.send("recipe-video", VIDEO_PATIENCE_S)
-    await asyncio.sleep(0.1)
-    pieces = PIECES if run.has_trouble else 1
-    await asyncio.gather(*(write_order(run, client, pieces) for client in clients))
-    await asyncio.sleep(ANSWER_LIMIT_S)
+    """Upgrade the router, request the purged objects, and look for old copies."""
+    objects: list[str] = []
+    await asyncio.sleep(1.0)
+    purge(run, objects)
+    await asyncio.sleep(PURGE_INTERVAL_S)  # this purge reaches the predecessor
+    run.list_service.is_stalled = run.has_trouble
+    start = asyncio.ensure_future(run.start_successor())
+    began_s = run.record.now()
+    while not start.done():
+        purge(run, objects)
+        await asyncio.wait([start], timeout=PURGE_INTERVAL_S)
+    await start
+    yes_ms = unix_ms()
+    if run.record.now() - began_s > MAX_START_S:
+        raise CaseError("the successor took too long to become ready")
+    run.router.signal(signal.SIGTERM)
+    client = await run.client("client")
+    until_s = run.record.now() + SENDING_AFTER_YES_S
+    while run.record.now() < until_s:
+        if client.has_ended:  # the predecessor had accepted it
+            client = await run.client("client")
+        for item in objects:
+            await client.send("recipe-video", VIDEO_PATIENCE_S, item=item)
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+    run.list_service.is_stalled = False
+    run.list_service.break_off()
+    await asyncio.sleep(1.0)
+    told_ms = yes_ms + TOLD_AFTER_YES_MS
+    excused_until_ms = told_ms + PURGE_GRACE_MS + SOCKET_SLACK_MS
     return [
-        f"request {sent.request_id} of {sent.request_class} got no answer: {sent.lost or 'none came'}"
-        for sent in run.sent()
-        if not sent.answers
+        f"request {copy.command.request_id} for {copy.command.fields['item']}, {copy.arrived_ms - told_ms} ms"
+        f" after its purge counted as told: served a copy from before the purge"
+        for copy in served_copies
+        if copy.arrived_ms - MAX_WAY_MS > excused_until_ms
     ]
 
 
 if __name__ == "__main__":
+    world.hold_listener()
     sys.exit(world.main(script, case))
--- a/review/world.py
+++ b/review/world.py
@@ -32,6 +32,8 @@
 CASE_LIMIT_S = 60.0  # a case that takes longer could not run
 SECOND_NS = 1_000_000_000
 RESPONSE_TAG = "4be0c1927d55a6f3"
+INHERITED_FD = 3  # the descriptor of the listening socket that the platform holds in an upgrade
+inherited_listener: socket.socket | None = None
 
 # The classes of the deployment, as settings name them; ``uncacheable`` becomes an entry of ``goes_through``.
 CLASSES: list[dict[str, Any]] = [
@@ -98,6 +100,7 @@
     tell: str = "mem"
     body: bytes = b""
     ran: bool = True
+    made_ms: int = 0  # when the origin gave out the copy, in Unix ms; 0 = now
 
 
 Script = Callable[[Command], Reply]
@@ -183,10 +186,15 @@
         await asyncio.sleep(reply.delay_s)
         answer_fields = f"tell={reply.tell},meter=outstanding:1;utilization:0.2"
         if reply.word == "DONE":
-            answer_fields = f"sum={RESPONSE_TAG},t0={int(time.time() * 1000)}," + answer_fields
+            answer_fields = f"sum={RESPONSE_TAG},t0={reply.made_ms or unix_ms()}," + answer_fields
         write_answer(writer, request_id, reply.word, answer_fields, reply.body)
 
 
+def unix_ms() -> int:
+    """The time of the system's Unix clock in ms."""
+    return int(time.time() * 1000)
+
+
 def write_answer(writer: asyncio.StreamWriter, request_id: str, word: str, fields: str, body: bytes) -> None:
     """Write one answer of a server; an answer on a connection that has ended is dropped."""
     strings = (request_id.encode(), word.encode(), fields.encode(), body)
@@ -202,6 +210,17 @@
             {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}
         ]
         self.address = ""
+        self.is_stalled = False
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def tell(self, **event: Any) -> None:
+        """Add an event."""
+        self.events.append({"n": self.events[-1]["n"] + 1, **event})
+
+    def break_off(self) -> None:
+        """Close all connections of watchers."""
+        for writer in self.writers:
+            writer.close()
 
     async def listen(self) -> None:
         """Start the service."""
@@ -209,14 +228,15 @@
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection."""
+        """Serve one connection; while the service is stalled, nothing is answered on it."""
+        self.writers.add(writer)
         try:
             while line := await reader.readline():
                 while (await reader.readline()).strip():
                     pass
                 query = parse_qs(urlsplit(line.split()[1].decode()).query)
                 after, until_s = int(query["SUB"][0]), time.monotonic() + int(query["wait"][0]) / 1000
-                while self.events[-1]["n"] <= after and time.monotonic() < until_s:
+                while self.is_stalled or (self.events[-1]["n"] <= after and time.monotonic() < until_s):
                     await asyncio.sleep(0.01)
                 events = [event for event in self.events if event["n"] > after]
                 body = json.dumps({"n": self.events[-1]["n"], "events": events}).encode()
@@ -226,6 +246,7 @@
         except asyncio.CancelledError:
             return  # the case is over
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -276,14 +297,16 @@
         """Write bytes to the connection."""
         await asyncio.get_running_loop().sock_sendall(self.sock, data)
 
-    def encode(self, request_class: str, patience_s: float, body: bytes = b"") -> tuple[int, Sent, bytes]:
+    def encode(
+        self, request_class: str, patience_s: float, body: bytes = b"", item: str = ""
+    ) -> tuple[int, Sent, bytes]:
         """Return the number of the next request, its entry and its bytes."""
         self.count += 1
         request_id = secrets.token_hex(8)
         fields = {
             "trace": request_id,
             "patience": str(int(patience_s * 1000)),
-            "entity": secrets.token_hex(8),
+            "entity": item or secrets.token_hex(8),
             "block": "0",
             "family": "17",
         }
@@ -291,10 +314,15 @@
         return self.count, Sent(request_id, request_class), data
 
     async def send(
-        self, request_class: str, patience_s: float, body: bytes = b"", mark: set[str] | None = None
+        self,
+        request_class: str,
+        patience_s: float,
+        body: bytes = b"",
+        item: str = "",
+        mark: set[str] | None = None,
     ) -> Sent:
-        """Send one request; its id is added to ``mark`` before it is written."""
-        number, sent, data = self.encode(request_class, patience_s, body)
+        """Send one request for ``item``, by default a new object; ``mark`` gets its id before it is sent."""
+        number, sent, data = self.encode(request_class, patience_s, body, item)
         if mark is not None:
             mark.add(sent.request_id)
         self.requests[number] = sent
@@ -356,37 +384,43 @@
 
 
 class Router:
-    """A router process, started as the deploy file says, and the platform's signals to it."""
+    """A router process, started as the deploy file says, and the platform's calls and signals to it.
+
+    With ``INHERITED_FD`` open, as in an upgrade, the process inherits the clients' listening socket and has a
+    control address of its own; otherwise it binds a free port.
+    """
 
-    def __init__(self, record: Record, folder: Path, list_service: ListService) -> None:
+    def __init__(self, record: Record, folder: Path, list_service: ListService, name: str = "router") -> None:
         self.record = record
         self.folder = folder
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            self.address: tuple[str, int] = listener.getsockname()[:2]
-        self.config_path = folder / "config.json"
+        self.name = name
         self.list_service = list_service
+        self.inherits = inherited_listener is not None
+        self.address: tuple[str, int] = (
+            free_address() if inherited_listener is None else inherited_listener.getsockname()[:2]
+        )
+        self.control_address = free_address()
+        self.config_path = folder / "config.json"
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write_config(self, classes: list[dict[str, Any]], limits: dict[str, Any] | None = None) -> None:
-        """Write the configuration file."""
+    def write_config(self, classes: list[dict[str, Any]]) -> None:
+        """Write the configuration file, which all processes of the router share."""
         base = json.loads((ROOT / "examples/config.json").read_bytes())
-        settings = {**base["settings"], **class_settings(classes)}
-        settings["limits"] = {**settings["limits"], **(limits or {})}
         config = {
             **base,
             "listen": f"127.0.0.1:{self.address[1]}",
             "feed": self.list_service.address,
             "known": {"n": 1, "events": self.list_service.events[:1]},
-            "settings": settings,
+            "settings": {**base["settings"], **class_settings(classes)},
         }
         temporary_path = self.config_path.with_suffix(".new")
         temporary_path.write_text(json.dumps(config))
         temporary_path.replace(self.config_path)
 
     async def start(self) -> None:
-        """Start the process and wait until it answers ``health`` with true."""
+        """Start the process and wait until it says that it takes clients."""
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        (self.folder / "tmp").mkdir()
+        (self.folder / "tmp").mkdir(exist_ok=True)
         env = {
             "PATH": os.environ.get("PATH", os.defpath),
             "ROUTER_NAME": "n1",
@@ -394,28 +428,50 @@
             "ROUTER_CONFIG": str(self.config_path),
             "TMPDIR": str(self.folder / "tmp"),
         }
-        with (self.folder / "log").open("wb") as log:
-            self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
+        if self.inherits:
+            env["ROUTER_FD"] = str(INHERITED_FD)
+            env["ROUTER_MGMT"] = f"127.0.0.1:{self.control_address[1]}"
+        descriptors = (INHERITED_FD,) if self.inherits else ()
+        with (self.folder / f"{self.name}.log").open("wb") as log:
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log, pass_fds=descriptors
+            )
         until_s = time.monotonic() + START_LIMIT_S
         while time.monotonic() < until_s and self.process.poll() is None:
-            client = Client(self.record, "platform")
-            try:
-                await client.connect(self.address)
-                await client.check_health()
-                await asyncio.sleep(0.1)
-                if client.is_ready:
-                    self.record.note(f"router is ready, process {self.process.pid}")
-                    return
-            except OSError:
-                await asyncio.sleep(0.1)
-            finally:
-                client.close()
-        raise CaseError("the router did not become ready: " + self.log())
+            if await (self.says_ready() if self.inherits else self.is_healthy()):
+                self.record.note(f"{self.name} is ready, process {self.process.pid}")
+                return
+            await asyncio.sleep(0.1)
+        raise CaseError(f"{self.name} did not become ready: {self.log()}")
+
+    async def is_healthy(self) -> bool:
+        """Whether the router answers a client's health request with true."""
+        client = Client(self.record, "platform")
+        try:
+            await client.connect(self.address)
+            await client.check_health()
+            await asyncio.sleep(0.1)
+        except OSError:
+            return False
+        finally:
+            client.close()
+        return client.is_ready is True
+
+    async def says_ready(self) -> bool:
+        """Whether the process answers yes to ``GET /control/ready``."""
+        try:
+            reader, writer = await asyncio.open_connection(*self.control_address)
+            writer.write(b"GET /control/ready HTTP/1.1\r\nHost: router\r\n\r\n")
+            status = await reader.readline()
+            writer.close()
+        except OSError:
+            return False
+        return status.startswith(b"HTTP/1.1 2")
 
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
         assert self.process is not None
-        self.record.note(f"platform sends {number.name}")
+        self.record.note(f"platform sends {number.name} to {self.name}")
         self.process.send_signal(number)
 
     def exit_code(self) -> int | None:
@@ -425,7 +481,7 @@
 
     def log(self) -> str:
         """What the router has written."""
-        path = self.folder / "log"
+        path = self.folder / f"{self.name}.log"
         return path.read_text(errors="replace") if path.exists() else ""
 
     def end(self) -> None:
@@ -435,6 +491,33 @@
             self.process.wait()
 
 
+def free_address() -> tuple[str, int]:
+    """An address that nothing uses at the moment."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address: tuple[str, int] = listener.getsockname()[:2]
+    return address
+
+
+def hold_listener() -> None:
+    """Hold the clients' listening socket, which every process started from now on inherits.
+
+    To be called before anything else is opened.
+
+    Raises:
+        CaseError: The descriptor is in use.
+    """
+    global inherited_listener
+    listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+    if listener.fileno() != INHERITED_FD:
+        try:
+            os.fstat(INHERITED_FD)
+        except OSError:
+            os.dup2(listener.fileno(), INHERITED_FD)
+        else:
+            raise CaseError(f"descriptor {INHERITED_FD} is in use")
+    inherited_listener = listener
+
+
 def class_settings(classes: list[dict[str, Any]]) -> dict[str, Any]:
     """The keys of the settings that depend on the list of classes."""
     base = json.loads((ROOT / "examples/config.json").read_bytes())["settings"]["family_info"]
@@ -470,9 +553,17 @@
 
     record: Record
     servers: Servers
+    list_service: ListService
     router: Router
     has_trouble: bool
     clients: list[Client] = field(default_factory=list)
+    successor: Router | None = None  # the process of an upgrade
+
+    async def start_successor(self) -> Router:
+        """Start `run` one more time, with another control address and everything else unchanged."""
+        self.successor = Router(self.record, self.router.folder, self.list_service, "successor")
+        await self.successor.start()
+        return self.successor
 
     async def client(self, name: str, bytes_per_s: int = 0, receive_buffer: int = 0) -> Client:
         """Connect a client."""
@@ -499,7 +590,7 @@
     list_service = ListService(servers.endpoints)
     await list_service.listen()
     router = Router(record, folder, list_service)
-    world = World(record, servers, router, os.environ.get("TROUBLE", "1") != "0")
+    world = World(record, servers, list_service, router, os.environ.get("TROUBLE", "1") != "0")
     try:
         router.write_config(CLASSES)
         await router.start()
@@ -508,6 +599,8 @@
         raise CaseError("the case took too long") from error
     finally:
         router.end()
+        if world.successor is not None:
+            world.successor.end()
         for client in world.clients:
             client.close()
 
@@ -529,9 +622,8 @@
     except (CaseError, OSError) as error:
         record.lines.append(f"could not run: {error}")
         code = COULD_NOT_RUN
-    log_path = folder / "log"
-    log = log_path.read_text(errors="replace") if log_path.exists() else ""
-    record.lines += ["", "log of the router:", *log.splitlines()[-60:]]
+    for path in sorted(folder.glob("*.log")):
+        record.lines += ["", f"log of the {path.stem}:", *path.read_text(errors="replace").splitlines()[-60:]]
     case_folder = Path(sys.argv[0]).resolve().parent
     (case_folder / "record.txt").write_text("\n".join(record.lines) + "\n")
     shutil.rmtree(folder, ignore_errors=True)
