Review stand-ins: a client's socket leaves the loop before it is closed

Why: a client that was closed while it read could end a case with an error of the loop. What: Client.close removes the socket from the loop first.

--- a/review/world.py
+++ b/review/world.py
@@ -380,6 +380,8 @@
         """Close the connection."""
         if self.reading is not None:
             self.reading.cancel()
+        if self.sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self.sock)
         self.sock.close()
 
 
