--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 
 import world
-from world import CaseError, Command, Reply, World, unix_ms
+from world import Command, Reply, World, unix_ms
 
 PURGE_INTERVAL_S = 0.2
-MAX_START_S = 2.0  # the stall stays under 8 s if the successor is ready by then
+MAX_STALL_S = 7.5  # the stall ends then, whether or not the successor is ready
 TOLD_AFTER_YES_MS = 2_000  # news counts as told this long after the successor's yes
 PURGE_GRACE_MS = 300
 SOCKET_SLACK_MS = 50  # every time limit is this much longer on sockets
@@ -69,6 +69,15 @@
     run.record.note(f"{item} is purged; the list service is {'stalled' if run.has_trouble else 'well'}")
 
 
+async def end_stall(run: World) -> None:
+    """End the stall in time; the list service breaks off first."""
+    await asyncio.sleep(MAX_STALL_S)
+    if run.list_service.is_stalled:
+        run.record.note("the list service breaks off and answers again")
+        run.list_service.is_stalled = False
+        run.list_service.break_off()
+
+
 async def case(run: World) -> list[str]:
     """Upgrade the router, request the purged objects, and look for old copies."""
     objects: list[str] = []
@@ -76,15 +85,13 @@
     purge(run, objects)
     await asyncio.sleep(PURGE_INTERVAL_S)  # this purge reaches the predecessor
     run.list_service.is_stalled = run.has_trouble
+    stall = asyncio.ensure_future(end_stall(run))
     start = asyncio.ensure_future(run.start_successor())
-    began_s = run.record.now()
     while not start.done():
         purge(run, objects)
         await asyncio.wait([start], timeout=PURGE_INTERVAL_S)
     await start
     yes_ms = unix_ms()
-    if run.record.now() - began_s > MAX_START_S:
-        raise CaseError("the successor took too long to become ready")
     run.router.signal(signal.SIGTERM)
     client = await run.client("client")
     until_s = run.record.now() + SENDING_AFTER_YES_S
@@ -94,8 +101,7 @@
         for item in objects:
             await client.send("recipe-video", VIDEO_PATIENCE_S, item=item)
         await asyncio.sleep(REQUEST_INTERVAL_S)
-    run.list_service.is_stalled = False
-    run.list_service.break_off()
+    await stall
     await asyncio.sleep(1.0)
     told_ms = yes_ms + TOLD_AFTER_YES_MS
     excused_until_ms = told_ms + PURGE_GRACE_MS + SOCKET_SLACK_MS
