--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 import sys
 
 import world
-from world import CLASSES, Command, Reply, World
+from world import CLASSES, CaseError, Command, Reply, World
 
 BETWEEN_FILES_S = 1.0
 AFTER_FILES_S = 4.0  # a router uses both files' stricter values for two seconds
@@ -46,6 +46,8 @@
         await client.send("order-place", ORDER_PATIENCE_S, b"one menu")
         await asyncio.sleep(ORDER_INTERVAL_S)
     await asyncio.sleep(ANSWER_LIMIT_S)
+    if len(first_attempts) < ORDERS:
+        raise CaseError(f"only {len(first_attempts)} of {ORDERS} orders reached a server")
     breaches = []
     for sent in run.sent():
         servers = [command.server for command in run.servers.runs if command.request_id == sent.request_id]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 import sys
 
 import world
-from world import CLASSES, Command, Reply, World
+from world import CLASSES, CaseError, Command, Reply, World
 
 FILL_GIVEN_UP_S = 2.5
 SLOW_FILLS_UNTIL_S = 1.0  # requests sent in this time after the file have a first fill that brings nothing
@@ -50,6 +50,8 @@
             break  # the record shows why
         await asyncio.sleep(REQUEST_INTERVAL_S)
     await asyncio.sleep(ANSWER_LIMIT_S)
+    if not any(command.request_id in slow_requests for command in run.servers.commands):
+        raise CaseError("no request met a fill that brings nothing")
     breaches = []
     if run.router.exit_code() is not None:
         breaches.append(f"the router crashed: exit code {run.router.exit_code()}, without a signal to end")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
 """An upgrade while the list service stalls: objects that were purged before it are served from old copies.
 
-A process of the router runs and receives a purge.  The platform starts the successor on the same listening
-socket; the list service stalls meanwhile, and further objects are purged.  Once the successor says yes, the
-predecessor gets SIGTERM.  The caches hold old copies until 5.5 s after each purge.
+A process of the router runs and receives a purge.  The list service stalls, and the platform starts the
+successor on the same listening socket.  Once the successor says yes, the predecessor gets SIGTERM.  The
+caches hold old copies until 5.5 s after a purge.  If the start takes long, another object is purged each
+second.
 """
 
 from __future__ import annotations
@@ -13,9 +14,11 @@
 from dataclasses import dataclass
 
 import world
-from world import Command, Reply, World, unix_ms
+from world import CaseError, Command, Reply, World, unix_ms
 
-PURGE_INTERVAL_S = 0.2
+PURGE_INTERVAL_S = 1.0  # objects are purged 0.38 to 1.2 a second
+TELLING_S = 0.1  # routers hear of a purge after 36 to 390 ms
+AFTER_TELLING_S = 0.2  # in which the first purge reaches the predecessor
 MAX_STALL_S = 7.5  # the stall ends then, whether or not the successor is ready
 TOLD_AFTER_YES_MS = 2_000  # news counts as told this long after the successor's yes
 PURGE_GRACE_MS = 300
@@ -60,13 +63,17 @@
     return Reply("DONE", 0.02, "origin", b"new copy")
 
 
-def purge(run: World, objects: list[str]) -> None:
-    """Purge one more object at the origin, and tell the list service."""
+async def purge(run: World, objects: list[str]) -> None:
+    """Purge one more object at the origin; a little later the list service has the purge."""
     item = f"{len(objects) + 1:016x}"
     objects.append(item)
     purged_ms[item] = unix_ms()
+    run.record.note(f"{item} is purged")
+    await asyncio.sleep(TELLING_S)
     run.list_service.tell(purge={"key": item, "at": purged_ms[item]})
-    run.record.note(f"{item} is purged; the list service is {'stalled' if run.has_trouble else 'well'}")
+    run.record.note(
+        f"{item}: the list service, {'stalled' if run.list_service.is_stalled else 'well'}, has it"
+    )
 
 
 async def end_stall(run: World) -> None:
@@ -82,27 +89,32 @@
     """Upgrade the router, request the purged objects, and look for old copies."""
     objects: list[str] = []
     await asyncio.sleep(1.0)
-    purge(run, objects)
-    await asyncio.sleep(PURGE_INTERVAL_S)  # this purge reaches the predecessor
+    await purge(run, objects)
+    await asyncio.sleep(AFTER_TELLING_S)
     run.list_service.is_stalled = run.has_trouble
+    run.record.note(f"the list service {'stalls' if run.has_trouble else 'goes on'}; the upgrade begins")
     stall = asyncio.ensure_future(end_stall(run))
     start = asyncio.ensure_future(run.start_successor())
-    while not start.done():
-        purge(run, objects)
-        await asyncio.wait([start], timeout=PURGE_INTERVAL_S)
-    await start
+    while not (await asyncio.wait([start], timeout=PURGE_INTERVAL_S))[0]:
+        await purge(run, objects)  # only if the start takes long; the last one may end after the yes
+    successor = await start
     yes_ms = unix_ms()
     run.router.signal(signal.SIGTERM)
     client = await run.client("client")
     until_s = run.record.now() + SENDING_AFTER_YES_S
-    while run.record.now() < until_s:
-        if client.has_ended:  # the predecessor had accepted it
+    while run.record.now() < until_s and successor.exit_code() is None:
+        try:
+            if client.has_ended:  # the predecessor had accepted it
+                client = await run.client("client")
+            for item in objects:
+                await client.send("recipe-video", VIDEO_PATIENCE_S, item=item)
+        except OSError:  # the connection ended while it was used
             client = await run.client("client")
-        for item in objects:
-            await client.send("recipe-video", VIDEO_PATIENCE_S, item=item)
         await asyncio.sleep(REQUEST_INTERVAL_S)
     await stall
     await asyncio.sleep(1.0)
+    if not any(answer == "served" for sent in run.sent() for answer, _ in sent.answers):
+        raise CaseError("no request was served")
     told_ms = yes_ms + TOLD_AFTER_YES_MS
     excused_until_ms = told_ms + PURGE_GRACE_MS + SOCKET_SLACK_MS
     return [
@@ -114,5 +126,4 @@
 
 
 if __name__ == "__main__":
-    world.hold_listener()
-    sys.exit(world.main(script, case))
+    sys.exit(world.main(script, case, holds_listener=True))
--- a/review/world.py
+++ b/review/world.py
@@ -612,22 +612,31 @@
     return await case
 
 
-def main(script: Script, case: Callable[[World], Coroutine[Any, Any, list[str]]]) -> int:
-    """Run a case, write its record beside it, and return the exit code."""
+def main(
+    script: Script, case: Callable[[World], Coroutine[Any, Any, list[str]]], holds_listener: bool = False
+) -> int:
+    """Run a case, write its record beside it, and return the exit code.
+
+    With ``holds_listener`` the platform holds the clients' listening socket, as in an upgrade.
+    """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # the router is ended on the way out
     record = Record()
     folder = Path(tempfile.mkdtemp(prefix="kelpcroft-review-"))
     try:
+        if holds_listener:
+            hold_listener()
         breaches = asyncio.run(run_world(record, folder, script, case))
         code = BROKEN if breaches else HELD
         record.lines += [f"BROKEN: {breach}" for breach in breaches] or ["the rule held"]
-    except (CaseError, OSError) as error:
-        record.lines.append(f"could not run: {error}")
+    except Exception as error:  # whatever it is, the case has shown nothing about the rule
+        record.lines.append(f"could not run: {type(error).__name__}: {error}")
         code = COULD_NOT_RUN
-    for path in sorted(folder.glob("*.log")):
-        record.lines += ["", f"log of the {path.stem}:", *path.read_text(errors="replace").splitlines()[-60:]]
+    finally:
+        for path in sorted(folder.glob("*.log")):
+            lines = path.read_text(errors="replace").splitlines()[-60:]
+            record.lines += ["", f"log of the {path.stem}:", *lines]
+        shutil.rmtree(folder, ignore_errors=True)
     case_folder = Path(sys.argv[0]).resolve().parent
     (case_folder / "record.txt").write_text("\n".join(record.lines) + "\n")
-    shutil.rmtree(folder, ignore_errors=True)
     print("\n".join(line for line in record.lines if line.startswith(("BROKEN", "could", "the rule"))))
     return code
