A configuration file that was taken back is no longer in force after its transition

Cause: ConfigReload.apply compared a file with the settings in use, which for two seconds after a file are the stricter of the old and the new ones. A file that is taken back equals them, so it was found to change nothing, and the pending settings of the file before came into force at its timer.

Change: a file is compared with what the last file leads to (the pending settings, or those in use without any); one that differs from the pending settings replaces them and begins a transition of its own. The settings at the end of a transition are computed at its end, not at its beginning, so that a number of routers estimated in between is kept.

Why it works: whatever the order of files, the pending settings are those of the last valid file, and only its timer is valid.

--- a/kelpcroft/core/config_reload.py
+++ b/kelpcroft/core/config_reload.py
@@ -3,7 +3,8 @@
 ``kelpcroft.config_reload`` checks the file and computes the change; this module applies the result to the
 state.  A file with an error changes nothing, not even the feed; one log line names the first error, the file
 and the number of errors.  A valid file moves the feed immediately and changes the settings in two steps: the
-stricter of the old and new settings for ``TRANSITION_NS``, then the new settings.
+stricter of the old and new settings for ``TRANSITION_NS``, then the new settings.  A valid file that is read
+during such a transition replaces the file whose settings are pending.
 """
 
 from __future__ import annotations
@@ -41,7 +42,8 @@
     def __init__(self, state: State, watch: FeedWatch) -> None:
         self.state = state
         self.watch = watch
-        self.pending_settings: api.Settings | None = None  # in use from the end of the transition
+        # Settings of the last file, whose classes and limits are in use from the end of the transition.
+        self.pending_settings: api.Settings | None = None
         self.transition_number = 0  # number of transitions begun: only the timer of the last one is valid
 
     def on_file_read(self, read: ConfigFileRead) -> None:
@@ -95,8 +97,8 @@
         deferred = deferred_keys(checked.raw["settings"], state.raw_config.get("settings", {}))
         state.raw_config = checked.raw
         feed_text = self.watch.move_feed(checked.feed_address)
-        change = config_reload.diff_settings(state.settings, checked.settings)
-        if change:
+        change = config_reload.diff_settings(self.settings_of_last_file(), checked.settings)
+        if change or self.replaces_pending(checked.settings):
             self.begin_transition(checked.settings)
         fields: dict[str, object] = {
             "file": path,
@@ -111,21 +113,37 @@
             "config.read", f"configuration read again: {feed_text}; {change}{deferred_text}", "info", fields
         )
 
+    def settings_of_last_file(self) -> api.Settings:
+        """The settings that the last valid file leads to: the pending ones, or those in use without any."""
+        return self.state.settings if self.pending_settings is None else self.pending_settings
+
+    def replaces_pending(self, settings: api.Settings) -> bool:
+        """Whether settings are pending whose classes or limits differ from these."""
+        pending = self.pending_settings
+        return pending is not None and (
+            pending.classes != settings.classes or pending.limits != settings.limits
+        )
+
     def begin_transition(self, settings: api.Settings) -> None:
-        """Use the stricter of the current and new settings for ``TRANSITION_NS``, then the new ones."""
+        """Use the stricter of the current and new settings for ``TRANSITION_NS``, then the new ones.
+
+        During an earlier transition, the current settings are the stricter of the files before this one, any
+        of which clients may still use.
+        """
         state = self.state
         self.transition_number += 1
-        in_use = state.settings
-        state.change_settings(config_reload.transition_settings(in_use, settings))
-        self.pending_settings = config_reload.final_settings(state.settings, settings)
+        state.change_settings(config_reload.transition_settings(state.settings, settings))
+        self.pending_settings = settings
         state.schedule(config_reload.TRANSITION_NS, TimerKind.SETTINGS_TRANSITION, self.transition_number)
 
     def on_transition_over(self, number: int) -> None:
         """End the transition of the last file: only its classes and limits are used from now on."""
-        settings = self.pending_settings
-        if number != self.transition_number or settings is None:
+        pending = self.pending_settings
+        if number != self.transition_number or pending is None:
             return
         self.pending_settings = None
+        # The rest is as it is now: the estimated number of routers may have changed during the transition.
+        settings = config_reload.final_settings(self.state.settings, pending)
         self.state.change_settings(settings)
         names, attempts = [c.name for c in settings.classes], settings.limits.max_attempts
         self.state.log(
