A request keeps the class with which it was admitted, so a removed class ends no process

Cause: ServerConnections.acquire looked the class up by name among the classes in use, from which a removed class is gone once its transition is over.

Change: OpenRequest has the class, and whatever concerns an open request reads it there. Three more look-ups by name did not raise, but treated a removed class as one without rules: a keyed attempt was neither recorded nor limited to its window, an end was not counted, a slow fetch not judged.

Why it works: no code on the path of an open request reads State.classes any more; it is read when a request is admitted.

--- a/kelpcroft/core/attempt_completion.py
+++ b/kelpcroft/core/attempt_completion.py
@@ -160,9 +160,5 @@
         state, message = self.state, attempt.request.message
         transfer_ns = state.expected_transfer_ns(message.request_class, message.size_kb)
         wait_ns = max(source_wait_ns, state.now - attempt.started_ns - transfer_ns)
-        request_class = state.classes.get(message.request_class)
-        return (
-            request_class is not None
-            and state.origin_limit is not None
-            and state.origin_limit.is_late(wait_ns, request_class.latency_objective_ns)
-        )
+        latency_objective_ns = attempt.request.request_class.latency_objective_ns
+        return state.origin_limit is not None and state.origin_limit.is_late(wait_ns, latency_objective_ns)
--- a/kelpcroft/core/attempt_sending.py
+++ b/kelpcroft/core/attempt_sending.py
@@ -164,8 +164,8 @@
         state, message = self.state, attempt.request.message
         if not message.idempotency_key:
             return True
-        request_class = state.classes.get(message.request_class)
-        if request_class is None or request_class.idempotency is Idempotency.SAFE:
+        request_class = attempt.request.request_class
+        if request_class.idempotency is Idempotency.SAFE:
             return True
         prior_execution = state.idempotency_keys.find(
             state.now, message.request_class, message.idempotency_key
--- a/kelpcroft/core/client_requests.py
+++ b/kelpcroft/core/client_requests.py
@@ -118,7 +118,12 @@
         if allowance is not None:
             time_allowed_ns = allowance.response_timeout_ns
         request = OpenRequest(
-            str(number), message, state.now + time_allowed_ns, allowance, time_allowed_ns=time_allowed_ns
+            str(number),
+            message,
+            request_class,
+            state.now + time_allowed_ns,
+            allowance,
+            time_allowed_ns=time_allowed_ns,
         )
         state.requests[number] = request
         state.requests_by_client.setdefault(message.client, {})[message.request_number] = request
@@ -236,9 +241,8 @@
 
     def record_statistics(self, request: OpenRequest, response: FinalResponse | None) -> None:
         """Add a request's end to the statistics.  Its elapsed time counts from when the client sent it."""
-        state, message = self.state, request.message
-        request_class = state.classes.get(message.request_class)
-        if request_class is None or state.statistics is None:
+        state, message, request_class = self.state, request.message, request.request_class
+        if state.statistics is None:
             return
         transfer_ns = state.expected_transfer_ns(message.request_class, message.size_kb)
         elapsed_ns = state.now - request.deadline_ns + request.time_allowed_ns + message.queued_ns
--- a/kelpcroft/core/server_connections.py
+++ b/kelpcroft/core/server_connections.py
@@ -34,8 +34,7 @@
         exclusive = False
         if request is not None:
             attempt_id = request.message.trace_id
-            request_class = state.classes[request.message.request_class]
-            exclusive = request_class.idempotency is api.Idempotency.UNSAFE
+            exclusive = request.request_class.idempotency is api.Idempotency.UNSAFE
         connection = state.connections.find(server, attempt_id, exclusive, state.now)
         if connection is None:
             endpoint = state.endpoints.get(server)
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -65,6 +65,7 @@
     Attributes:
         id: The request's number as text: its id in the decision package.
         message: The request as decoded.
+        request_class: The class with which it was admitted, which a reload does not affect.
         deadline_ns: When the final response is due.
         allowance: The limits and budgets of its route; None without a route.
         has_final_response: The final response was requested, or the client no longer waits for one.
@@ -77,6 +78,7 @@
 
     id: str
     message: ClientRequest
+    request_class: api.RequestClass
     deadline_ns: int
     allowance: RequestAllowance | None = None
     has_final_response: bool = False
@@ -108,6 +110,7 @@
         self.config = config
         self.policy = RoutingPolicy(config.settings)
         self.settings = config.settings  # the settings in use: a reload (SIGHUP) changes them
+        # Classes with which new requests are admitted; an open request has its own (``OpenRequest``).
         self.classes = {c.name: c for c in config.settings.classes}
         self.raw_config = config.raw  # JSON of the configuration in use
         # Differs between routers, so that the random choices of a fleet's routers do not coincide.
