The file of the start is accepted again at SIGHUP whatever file is in use

Operators saw: after a file that removes the class with the fewest keys, or adds a key, the file of the start was rejected for a missing key, and the file that was to be taken back stayed in force.

Cause: the required keys were those of the file in use, for lists those of every entry in use.

Change: the required keys are those of the file of the start. A file that lacks one of them is rejected as before.

Why it works: a file that was accepted has all keys of the start, so the file of the start never lacks a required key.

--- a/kelpcroft/config_reload/check.py
+++ b/kelpcroft/config_reload/check.py
@@ -4,8 +4,10 @@
 its place:
 
 - the file is empty or is not complete JSON (the place is the line and column where decoding stopped);
-- a key of the file in use is missing, at the top level or anywhere in ``settings`` (in the list of classes: a
-  key that every class in use has); the contents of ``known`` are not checked, as only a start reads them;
+- a key of the file of the start is missing, at the top level or anywhere in ``settings`` (in the list of
+  classes: a key that every class of that file has); the contents of ``known`` are not checked, as only a
+  start reads them.  Keys that only a later file has are not required, so that the file of the start can
+  always be restored;
 - a class's ``give_up_ns`` is not a positive number of nanoseconds, or ``limits.most_tries`` is not a positive
   whole number of attempts;
 - a class has no name, has the name of another class, or has an idempotency that is not ``safe``, ``keyed`` or
@@ -13,7 +15,7 @@
 - ``feed`` is not an address as host:port.
 
 A start checks its file less strictly (``kelpcroft.config.parse_config``), so that every file with which the
-router started before still works.  This check is for a file that replaces the one in use.
+router started before still works.  This check is for a file that replaces another one.
 """
 
 from __future__ import annotations
@@ -45,24 +47,29 @@
     return raw, []
 
 
-def validate_reload(new: dict[str, Any], current: dict[str, Any]) -> list[Diagnostic]:
-    """Return the diagnostics of ``new``, a file that is to replace ``current``; none where it may be used."""
-    return ReloadCheck().run(new, current)
+def validate_reload(new: dict[str, Any], start: dict[str, Any]) -> list[Diagnostic]:
+    """Return the diagnostics of a file that was read again; none where it may be used.
+
+    Args:
+        new: The file.
+        start: The file with which the router started, whose keys are required.
+    """
+    return ReloadCheck().run(new, start)
 
 
 class ReloadCheck:
-    """One pass over a file that is to replace the one in use."""
+    """One pass over a file that was read again."""
 
     def __init__(self) -> None:
         self._diagnostics: list[Diagnostic] = []
 
-    def run(self, new: dict[str, Any], current: dict[str, Any]) -> list[Diagnostic]:
+    def run(self, new: dict[str, Any], start: dict[str, Any]) -> list[Diagnostic]:
         """Return the diagnostics of ``new``, in the order of the checks."""
-        for key in current:
+        for key in start:
             if key not in new:
-                self._report(key, "is missing", "must be set, because the file in use has this key")
+                self._report(key, "is missing", "must be set, because the file of the start has this key")
         if "settings" in new:
-            self._check_settings(new["settings"], current.get("settings"))
+            self._check_settings(new["settings"], start.get("settings"))
         if "feed" in new and parse_host_port(new["feed"]) is None:
             self._report("feed", describe_unusable(new["feed"]), "must be an address as host:port")
         return self._diagnostics[:MAX_DIAGNOSTICS]
@@ -70,11 +77,11 @@
     def _report(self, place: str, found: str, expected: str) -> None:
         self._diagnostics.append(Diagnostic(place, found, expected))
 
-    def _check_settings(self, settings: Any, current: Any) -> None:
+    def _check_settings(self, settings: Any, start: Any) -> None:
         if not isinstance(settings, dict):
             self._report("settings", describe_unusable(settings), "must be an object")
             return
-        self._check_keys(settings, current, "settings")
+        self._check_keys(settings, start, "settings")
         self._check_classes(settings.get("classes"))
         self._check_limits(settings.get("limits"))
 
@@ -86,22 +93,24 @@
             expected = "must be a positive whole number of attempts"
             self._report("settings.limits.most_tries", describe_unusable(max_attempts), expected)
 
-    def _check_keys(self, new: Any, current: Any, place: str) -> None:
-        """Report the keys of ``current`` that ``new`` lacks, also in nested objects and lists of objects."""
-        if isinstance(current, dict) and isinstance(new, dict):
-            for key, value in current.items():
+    def _check_keys(self, new: Any, start: Any, place: str) -> None:
+        """Report the keys of ``start`` that ``new`` lacks, also in nested objects and lists of objects."""
+        if isinstance(start, dict) and isinstance(new, dict):
+            for key, value in start.items():
                 if key not in new:
                     self._report(
-                        f"{place}.{key}", "is missing", "must be set, because the file in use has this key"
+                        f"{place}.{key}",
+                        "is missing",
+                        "must be set, because the file of the start has this key",
                     )
                 else:
                     self._check_keys(new[key], value, f"{place}.{key}")
-        elif isinstance(current, list) and isinstance(new, list) and is_list_of_objects(current):
-            common = set.intersection(*(set(entry) for entry in current))
+        elif isinstance(start, list) and isinstance(new, list) and is_list_of_objects(start):
+            common = set.intersection(*(set(entry) for entry in start))
             self._check_entries(new, common, place)
 
     def _check_entries(self, entries: list[Any], common: set[str], place: str) -> None:
-        """Report, for each entry of a list, the missing keys that every entry in use has."""
+        """Report, for each entry of a list, the missing keys that every entry of the start has."""
         for index, entry in enumerate(entries):
             if not isinstance(entry, dict):
                 self._report(f"{place}[{index}]", describe_unusable(entry), "must be an object")
@@ -110,7 +119,7 @@
                 self._report(
                     f"{place}[{index}].{key}",
                     "is missing",
-                    "must be set, because every entry in use has this key",
+                    "must be set, because every entry in the file of the start has this key",
                 )
 
     def _check_classes(self, classes: Any) -> None:
--- a/kelpcroft/core/config_reload.py
+++ b/kelpcroft/core/config_reload.py
@@ -61,7 +61,7 @@
         raw, diagnostics = config_reload.decode_config(read.data)
         if raw is None or diagnostics:
             return None, diagnostics
-        diagnostics = config_reload.validate_reload(raw, self.state.raw_config)
+        diagnostics = config_reload.validate_reload(raw, self.state.config.raw)
         if diagnostics:
             return None, diagnostics
         try:
