A successor knows what the feed told its predecessor, and limits ages while the feed is silent

Cause: the new process started from known of the unchanged configuration and said yes at once. What its predecessor had learned from the feed was lost until the first watch response.

Change: the predecessor keeps a record of its position, changed endpoints and purges in $TMPDIR; the successor applies it before its first watch request and reads it again until the feed responds. While the predecessor runs, the successor says no until then, for at most 4 s. If the feed is still silent 2 s after the yes, when its news counts as told, only copies from after the yes are used. All of it applies only to a shared listening socket (ROUTER_FD).

Why it works: purges that either process heard are known one by one, and those that neither could hear concern copies from before the yes, which are not used while such a purge may matter.

--- a/kelpcroft/core/configured_feed.py
+++ b/kelpcroft/core/configured_feed.py
@@ -55,6 +55,7 @@
             self.position.schedule_watch_request(schedule.record_failure())
         else:
             schedule.record_success()
+            self.position.has_responded = True
             self.position.send_watch_request()
 
     def apply_response(self, response: WatchResponse) -> bool:
--- a/kelpcroft/core/effects.py
+++ b/kelpcroft/core/effects.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from kelpcroft.core.inputs import FeedRecord
 from kelpcroft.core.messages import Body, TimerKey, message
 
 # To clients -----------------------------------------------------------------------------------------------
@@ -227,6 +228,23 @@
     """Read the predecessor's record of its end; if there is one, deliver PredecessorEnded."""
 
 
+@message
+class PersistFeedRecord:
+    """Store what this process knows from the feed for the router's successor process (an upgrade)."""
+
+    record: FeedRecord
+
+
+@message
+class TouchFeedRecord:
+    """Mark the stored feed record as that of a running process."""
+
+
+@message
+class ReadPredecessorFeed:
+    """Read the feed record of the predecessor; if there is one, deliver PredecessorFeed."""
+
+
 @message
 class SetStateEndpoint:
     """Start or stop serving the state on the control address; the first start delivers ProcessIdentity."""
@@ -258,6 +276,9 @@
     | ControlResponse
     | PersistServiceState
     | ReadPredecessorState
+    | PersistFeedRecord
+    | TouchFeedRecord
+    | ReadPredecessorFeed
     | SetStateEndpoint
     | DrainClients
     | Exit
--- a/kelpcroft/core/endpoint_list.py
+++ b/kelpcroft/core/endpoint_list.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from functools import partial
+from typing import NamedTuple
 
 from kelpcroft.core.attempts import Attempts
 from kelpcroft.core.decision_loop import DecisionLoop
@@ -13,6 +15,15 @@
 from kelpcroft.decision import interface as api
 from kelpcroft.discovery.endpoint_view import IN_SERVICE
 
+MAX_RECENT_PURGES = 4_096  # purges that are kept for a successor process; older ones are dropped
+
+
+class ReceivedPurge(NamedTuple):
+    """A purge, and when it was applied."""
+
+    purge: Purge
+    received_ns: int
+
 
 class EndpointList:
     """Applies events of the feed to the core and to the decision package.
@@ -23,6 +34,8 @@
         chunked_response_events: Number of events received of a watch response that arrives in chunks; 0 if no
             such response is arriving.
         skipped_purges: Number of purges of that response that were skipped as too old.
+        changes: Number of updates and purges that were applied.
+        recent_purges: The last purges that were applied, in that order.
     """
 
     def __init__(
@@ -35,6 +48,8 @@
         self.has_endpoint_list = False
         self.chunked_response_events = 0
         self.skipped_purges = 0
+        self.changes = 0
+        self.recent_purges: deque[ReceivedPurge] = deque(maxlen=MAX_RECENT_PURGES)
 
     @property
     def last_event(self) -> int:
@@ -75,10 +90,18 @@
             self.skipped_purges += 1
             return
         state.counters["purges"] += 1
+        self.changes += 1
+        self.recent_purges.append(ReceivedPurge(purge, state.now))
         state.events.append(api.Purged(purge.object_number, purge.group, age_ns))
         self.decisions.run()
         self.attempts.cancel_matching(partial(matches_purge, purge))
 
+    def assume_unknown_purges(self, ago_ns: int) -> None:
+        """Treat every object as purged ``ago_ns`` before now, as purges until then may be unknown."""
+        self.state.events.append(api.PurgesUnknown(ago_ns))
+        self.decisions.run()
+        self.attempts.cancel_matching(lambda _attempt: True)
+
     def unknown_field(self, update: EndpointUpdate) -> str:
         """Return the first zone or type in an update that the settings do not contain, or "".
 
@@ -102,6 +125,7 @@
         if update_kind == "replace":
             self.retire_unlisted(update.endpoints)
         self.has_endpoint_list = True
+        self.changes += 1
         if self.state.is_tracing:
             self.trace_list(update)
         for endpoint in update.endpoints:
--- a/kelpcroft/core/feed_position.py
+++ b/kelpcroft/core/feed_position.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:  # at run time, imported only where the operator's file names control replicas
     from kelpcroft.control_log.subscription import Subscription
 
-AFTER_STALL_WAIT_MS = 1  # wait of a watch request after a process stall: the feed responds immediately
+IMMEDIATE_WAIT_MS = 1  # wait of a watch request to which the feed responds immediately
 
 
 class FeedPosition:
@@ -27,7 +27,8 @@
         subscription: The subscription to control replicas; None if the configuration's feed is watched.
         requested_ns: When the last watch request was sent, except those after a process stall.
         requested_from_event: The last applied event at that time.
-        requires_immediate_response: The last watch request followed a stall and does not wait for events.
+        requires_immediate_response: The last watch request does not wait for events.
+        has_responded: A response to a watch request of this process has been applied completely.
     """
 
     def __init__(self, state: State) -> None:
@@ -38,6 +39,7 @@
         self.requested_ns = 0
         self.requested_from_event = 0
         self.requires_immediate_response = False
+        self.has_responded = False
 
     @property
     def last_event(self) -> int:
@@ -66,7 +68,14 @@
         """
         self.state.counters["stalls"] += 1
         self.requires_immediate_response = True
-        self.append_watch_request(AFTER_STALL_WAIT_MS, self.timeouts().silence_ns)
+        self.append_watch_request(IMMEDIATE_WAIT_MS, self.timeouts().silence_ns)
+
+    def send_immediate_request(self) -> None:
+        """Send a watch request to which the feed responds immediately, with or without events."""
+        self.requested_ns = self.state.now
+        self.requested_from_event = self.last_event
+        self.requires_immediate_response = True
+        self.append_watch_request(IMMEDIATE_WAIT_MS, self.timeouts().silence_ns)
 
     def append_watch_request(self, wait_ms: int, response_timeout_ns: int) -> None:
         """Send one watch request, from the subscription's position or after the last event."""
--- a/kelpcroft/core/feed_watch.py
+++ b/kelpcroft/core/feed_watch.py
@@ -32,7 +32,10 @@
     def start(
         self, options: StartupOptions, crash_loop_delay_ns: int, replicas: ControlReplicas | None
     ) -> None:
-        """Apply the endpoints of the configuration, and send or schedule the first watch request.
+        """Send or schedule the first watch request.
+
+        A process that shares its listening socket may follow another one whose news it lacks, so its first
+        request does not wait for events.
 
         Args:
             options: The start options of the operator's file.
@@ -43,12 +46,24 @@
         config = self.state.config
         schedule = DiscoverySchedule(config.settings.instances, self.new_seed(), options.list_requests_per_s)
         self.position.schedule = schedule
-        self.configured.apply_response(config.initial_endpoints)
         if replicas is not None:
             self.watch_replicas(replicas)
             return
-        wait_ns = schedule.first_request_delay_ns() + crash_loop_delay_ns if schedule.has_budget else 0
-        self.position.schedule_watch_request(wait_ns)
+        if schedule.has_budget:
+            self.position.schedule_watch_request(schedule.first_request_delay_ns() + crash_loop_delay_ns)
+        elif config.inherited_listener_fd is not None:
+            self.position.send_immediate_request()
+        else:
+            self.position.send_watch_request()
+
+    def apply_configured_endpoints(self) -> None:
+        """Apply the endpoints and purges of the configuration."""
+        self.configured.apply_response(self.state.config.initial_endpoints)
+
+    def restart_request(self) -> None:
+        """Send the outstanding watch request again, from the current position in the feed."""
+        if self.replica_feed is None:
+            self.configured.switch_to(self.configured.address)
 
     def new_seed(self) -> int:
         """Return a seed that differs between routers and between times."""
--- a/kelpcroft/core/inputs.py
+++ b/kelpcroft/core/inputs.py
@@ -295,6 +295,38 @@
     ended_at_ns: int = 0
 
 
+@message
+class FeedRecord:
+    """What one process of a router knows from the feed beyond the configuration, for its successor.
+
+    Attributes:
+        known_digest: Digest of ``known`` in the configuration file, to which the numbers and endpoints refer.
+        last_event: Number of the last event that was applied; 0 if control replicas are watched.
+        endpoints: The last record of each server that differs from ``known``.
+        purges: The purges that may still concern copies.
+    """
+
+    known_digest: str
+    last_event: int
+    endpoints: tuple[EndpointRecord, ...]
+    purges: tuple[Purge, ...]
+
+
+@message
+class PredecessorFeed:
+    """The feed record of the router's predecessor process.
+
+    Attributes:
+        record: None if no file was found or it could not be used.
+        age_ns: Time since the predecessor last touched its file.
+        reason: Why the file could not be used; "" if no file was found.
+    """
+
+    record: FeedRecord | None
+    age_ns: int = 0
+    reason: str = ""
+
+
 @message
 class PredecessorEnded:
     """The predecessor, which ran at the same time as this process, has recorded the time of its end."""
@@ -373,6 +405,7 @@
     | OperatorFileRead
     | ControlRequest
     | PredecessorState
+    | PredecessorFeed
     | PredecessorEnded
     | ProcessIdentity
     | ProcessStalled
--- a/kelpcroft/core/messages.py
+++ b/kelpcroft/core/messages.py
@@ -33,6 +33,8 @@
     RETRY_BACKOFF = "again"  # the delay between two attempts of a request has elapsed
     HOUSEKEEPING = "house"  # closes idle connections and logs counters
     RESTART_OVERLAP = "part"  # checks whether the predecessor has ended
+    FEED_RECORD = "record"  # stores what the process knows from the feed for its successor
+    FEED_CATCH_UP = "behind"  # the next step of a process that has not heard from the feed yet
     SHUTDOWN = "lame"  # the next step of the shutdown
     SETTINGS_TRANSITION = "retune"  # the transition to reloaded settings is over
 
--- a/kelpcroft/core/process_status.py
+++ b/kelpcroft/core/process_status.py
@@ -15,6 +15,7 @@
         operator_file_digest: Digest of the operator's file in use; "" if there is none.
         started_ns: When the process started.
         is_listening: Clients can connect.
+        awaits_feed: The process delays its readiness until the list service responds, in an upgrade.
         clients: Numbers of the open client connections.
     """
 
@@ -24,6 +25,7 @@
         self.operator_file_digest = ""
         self.started_ns = 0
         self.is_listening = False
+        self.awaits_feed = False
         self.clients: set[int] = set()
 
     @property
@@ -44,4 +46,6 @@
             return "not listening yet"
         if not has_endpoint_list:
             return "no list of servers yet"
+        if self.awaits_feed:
+            return "no response of the list service yet"
         return ""
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -22,7 +22,9 @@
 from kelpcroft.core.decision_loop import DecisionLoop
 from kelpcroft.core.effects import Effect
 from kelpcroft.core.endpoint_list import EndpointList
+from kelpcroft.core.feed_catch_up import FeedCatchUp
 from kelpcroft.core.feed_position import FeedPosition
+from kelpcroft.core.feed_recorder import FeedRecorder
 from kelpcroft.core.feed_watch import FeedWatch
 from kelpcroft.core.housekeeping import Housekeeping
 from kelpcroft.core.inputs import Input
@@ -58,6 +60,10 @@
         self.position = FeedPosition(self.state)
         self.endpoint_list = EndpointList(self.state, self.position, self.attempts, self.decisions)
         self.watch = FeedWatch(self.state, self.position, self.endpoint_list)
+        self.feed_recorder = FeedRecorder(self.state, self.position, self.endpoint_list, self.process)
+        self.catch_up = FeedCatchUp(
+            self.state, self.process, self.position, self.endpoint_list, self.watch, self.feed_recorder
+        )
         self.config_reload = ConfigReload(self.state, self.watch)
         self.operator_settings = OperatorSettings(self.state, self.process, self.watch)
         self.restart_overlap = RestartOverlap(config.settings, self.service_state.shares_listener)
@@ -75,6 +81,8 @@
             self.predecessor,
             self.config_reload,
             self.shutdown,
+            self.feed_recorder,
+            self.catch_up,
         )
         self.handlers = self.input_handlers()
 
@@ -91,13 +99,14 @@
             inputs.ServerConnectionLost: self.attempts.on_connection_lost,
             inputs.PartialResponse: self.on_partial_response,
             inputs.TimerFired: self.timers.on_fired,
-            inputs.WatchResponse: self.watch.on_response,
+            inputs.WatchResponse: self.on_watch_response,
             inputs.WatchFailed: self.watch.on_failed,
             inputs.ProcessStalled: self.watch.on_stalled,
             inputs.ControlRequest: self.control_requests.on_request,
             inputs.ListenersReady: self.on_listeners_ready,
             inputs.ProcessIdentity: self.on_process_identity,
             inputs.PredecessorState: self.predecessor.on_state,
+            inputs.PredecessorFeed: self.catch_up.on_predecessor_feed,
             inputs.PredecessorEnded: self.predecessor.on_ended,
             inputs.ConfigFileRead: self.config_reload.on_file_read,
             inputs.OperatorFileRead: self.operator_settings.on_file_read,
@@ -115,6 +124,7 @@
         options: StartupOptions | None = None,
         crash_loop_delay_ns: int = 0,
         replicas: ControlReplicas | None = None,
+        predecessor_feed: inputs.PredecessorFeed | None = None,
     ) -> list[Effect]:
         """Apply the endpoints of the configuration, and schedule the first watch request.
 
@@ -124,6 +134,7 @@
             crash_loop_delay_ns: Added to the delay of the first watch request if the router restarts
                 repeatedly.
             replicas: The control replicas of the operator's file; None = none are named.
+            predecessor_feed: The feed record that the predecessor process left; None = there is no file.
 
         Returns:
             The first effects, in the order in which they are to be carried out.
@@ -135,6 +146,9 @@
         self.decisions.start()
         self.predecessor.start()
         self.operator_settings.apply_start_options(options)
+        self.watch.apply_configured_endpoints()
+        self.feed_recorder.start()
+        self.catch_up.start(predecessor_feed)
         self.watch.start(options, crash_loop_delay_ns, replicas)
         log_deployment(self.state)
         self.housekeeping.start()
@@ -167,10 +181,16 @@
         if connection is not None:
             connection.has_partial_response = message.is_incomplete
 
+    def on_watch_response(self, message: inputs.WatchResponse) -> None:
+        """Handle a response of the watched feed."""
+        self.watch.on_response(message)
+        self.catch_up.on_watch_response()
+
     def on_listeners_ready(self, _message: inputs.ListenersReady) -> None:
         """Record that clients can connect."""
         self.process.is_listening = True
         self.restart_overlap.on_serving(self.state.now)
+        self.catch_up.on_listening()
 
     def on_process_identity(self, message: inputs.ProcessIdentity) -> None:
         """Store the digest of the program and the process's name, which SetStateEndpoint requests."""
--- a/kelpcroft/core/replica_feed.py
+++ b/kelpcroft/core/replica_feed.py
@@ -67,6 +67,7 @@
         outcome = self.subscription.record_response(self.state.now, head)
         if outcome.verdict is ResponseVerdict.APPLY:
             self.apply_all(response, has_snapshot)
+            self.position.has_responded = True
         elif outcome.verdict is ResponseVerdict.APPLY_REMOVALS_ONLY:
             self.apply_removals(response)
         if outcome.next_request is NextRequest.NEXT_REPLICA:
--- a/kelpcroft/core/timers.py
+++ b/kelpcroft/core/timers.py
@@ -6,7 +6,9 @@
 
 from kelpcroft.core.attempts import Attempts
 from kelpcroft.core.config_reload import ConfigReload
+from kelpcroft.core.feed_catch_up import FeedCatchUp
 from kelpcroft.core.feed_position import FeedPosition
+from kelpcroft.core.feed_recorder import FeedRecorder
 from kelpcroft.core.housekeeping import Housekeeping
 from kelpcroft.core.inputs import TimerFired
 from kelpcroft.core.messages import TimerKind
@@ -30,6 +32,8 @@
         predecessor: Predecessor,
         config_reload: ConfigReload,
         shutdown: Shutdown,
+        feed_recorder: FeedRecorder,
+        catch_up: FeedCatchUp,
     ) -> None:
         self.state = state
         self.attempts = attempts
@@ -43,11 +47,13 @@
             TimerKind.RETRY_BACKOFF: attempts.on_backoff_elapsed,
             TimerKind.SETTINGS_TRANSITION: config_reload.on_transition_over,
             TimerKind.SHUTDOWN: shutdown.on_timer,
+            TimerKind.FEED_CATCH_UP: catch_up.on_timer,
         }
         # Handlers of the kinds that have only one timer.
         self.unnumbered_handlers: dict[TimerKind, Callable[[], None]] = {
             TimerKind.SEND_WATCH_REQUEST: position.send_watch_request,
             TimerKind.HOUSEKEEPING: housekeeping.on_timer,
+            TimerKind.FEED_RECORD: feed_recorder.on_timer,
             TimerKind.RESTART_OVERLAP: predecessor.update_budget_share,
         }
 
--- a/kelpcroft/decision/events.py
+++ b/kelpcroft/decision/events.py
@@ -272,6 +272,18 @@
     ago_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class PurgesUnknown:
+    """Purges until ``ago_ns`` before now may be unknown to this router: any object may have been purged."""
+
+    ago_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class PurgesKnown:
+    """The router has received all purges: those of ``PurgesUnknown`` are known one by one."""
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """The settings were reloaded while the router runs; the new classes and limits take effect immediately.
@@ -298,6 +310,7 @@
     origin_fills_allowed: bool = True
 
 
+PurgeEvent = Purged | PurgesUnknown | PurgesKnown
 RequestEvent = ResponseStarted | HedgeDue | BackoffElapsed | ClientDisconnected
 Event = (
     EndpointListChanged
@@ -311,6 +324,8 @@
     | ProbeFinished
     | PeerMessage
     | Purged
+    | PurgesUnknown
+    | PurgesKnown
     | SettingsChanged
     | RouterShareChanged
 )
--- a/kelpcroft/decision/freshness.py
+++ b/kelpcroft/decision/freshness.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from kelpcroft.decision.events import Purged
+from kelpcroft.decision.events import Purged, PurgeEvent, PurgesUnknown
 from kelpcroft.decision.requests import InFlightRequest
 from kelpcroft.decision.router_state import RouterState
 from kelpcroft.decision.units import MS
@@ -27,12 +27,24 @@
     Attributes:
         object_purges: Purges of single objects, by object.
         group_purges: Purges of all objects of a group, by group.
+        unknown_purges: The latest time at which any object may have been purged without this router's
+            knowledge; None if all purges are known.
     """
 
     def __init__(self, state: RouterState) -> None:
         self.state = state
         self.object_purges: dict[int, Purge] = {}
         self.group_purges: dict[int, Purge] = {}
+        self.unknown_purges: Purge | None = None
+
+    def handle(self, event: PurgeEvent) -> None:
+        """Apply an event that concerns purges."""
+        if isinstance(event, Purged):
+            self.record_purge(event)
+        elif isinstance(event, PurgesUnknown):
+            self.record_unknown_purges(event.ago_ns)
+        else:
+            self.unknown_purges = None
 
     def record_purge(self, event: Purged) -> None:
         """Record a purge, which is kept until no fill that was then in progress can still be stored."""
@@ -43,6 +55,11 @@
         else:
             self._record(self.object_purges, event.object_id, purged_ns, relevant_until_ns)
 
+    def record_unknown_purges(self, ago_ns: int) -> None:
+        """Record that any object may have been purged until ``ago_ns`` before now."""
+        relevant_until_ns = self.state.now_ns + self.state.settings.rules.purge_retention_ns
+        self.unknown_purges = Purge(self.state.now_ns - ago_ns, relevant_until_ns)
+
     def _record(self, purges: dict[int, Purge], key: int, purged_ns: int, relevant_until_ns: int) -> None:
         previous = purges.get(key)
         purges[key] = Purge(max(purged_ns, previous.purged_ns if previous else 0), relevant_until_ns)
@@ -52,6 +69,8 @@
         now_ns = self.state.now_ns
         self.object_purges = {k: p for k, p in self.object_purges.items() if p.relevant_until_ns >= now_ns}
         self.group_purges = {k: p for k, p in self.group_purges.items() if p.relevant_until_ns >= now_ns}
+        if self.unknown_purges is not None and self.unknown_purges.relevant_until_ns < now_ns:
+            self.unknown_purges = None
 
     def max_age_ns(self, request: InFlightRequest) -> int:
         """Return the maximum age of an acceptable copy; 0 if only the limit of the request's class applies.
@@ -65,6 +84,7 @@
         purged_ns = max(
             object_purge.purged_ns if object_purge else 0,
             group_purge.purged_ns if group_purge else 0,
+            self.unknown_purges.purged_ns if self.unknown_purges else 0,
         )
         if not purged_ns:
             return 0
--- a/kelpcroft/decision/policy.py
+++ b/kelpcroft/decision/policy.py
@@ -27,6 +27,8 @@
     HedgeDue,
     PossibleExecution,
     Purged,
+    PurgesKnown,
+    PurgesUnknown,
     Request,
     RequestEvent,
     ResponseStarted,
@@ -149,8 +151,8 @@
             self._handle_timer(event)
         elif isinstance(event, EndpointListChanged):
             self._handle_endpoint_list_changed(event)
-        elif isinstance(event, Purged):
-            self.freshness.record_purge(event)
+        elif isinstance(event, (Purged, PurgesUnknown, PurgesKnown)):
+            self.freshness.handle(event)
         elif isinstance(event, SettingsChanged):
             self.state.change_settings(event.settings)
             self.latency_model.update_classes()
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -138,6 +138,9 @@
             effects.SetStateEndpoint: self.control.set_state_endpoint,
             effects.PersistServiceState: self.predecessor.persist_service_state,
             effects.ReadPredecessorState: self.predecessor.read_predecessor_state,
+            effects.PersistFeedRecord: self.predecessor.persist_feed_record,
+            effects.TouchFeedRecord: self.predecessor.touch_feed_record,
+            effects.ReadPredecessorFeed: self.predecessor.read_predecessor_feed,
             effects.LogEvent: self.transport.write_log_event,
             effects.Exit: self._exit,
         }
@@ -162,6 +165,7 @@
         control_listener: socket.socket | None = None,
         predecessor: inputs.PredecessorState | None = None,
         crash_loop_delay_ns: int = 0,
+        predecessor_feed: inputs.PredecessorFeed | None = None,
     ) -> None:
         """Opens the listening sockets and starts the reducer.
 
@@ -173,6 +177,7 @@
                 configuration names an address.
             predecessor: The state that the predecessor left.
             crash_loop_delay_ns: Extra delay of the first list request, for a router that restarts repeatedly.
+            predecessor_feed: The feed record that the predecessor left.
         """
         transport = self.transport
         self.signals.pipe_fd = signals
@@ -183,7 +188,9 @@
             start_options = operator_file.file.start_options
             replicas = operator_file.file.control_replicas
         transport.perform_effects(
-            self.reducer.start(self.clock.now(), start_options, crash_loop_delay_ns, replicas)
+            self.reducer.start(
+                self.clock.now(), start_options, crash_loop_delay_ns, replicas, predecessor_feed
+            )
         )
         if predecessor is not None:
             transport.handle_input(predecessor)
--- a/kelpcroft/net/predecessor_files.py
+++ b/kelpcroft/net/predecessor_files.py
@@ -1,22 +1,31 @@
 """Files under ``$TMPDIR`` that a process of a router leaves for its successor.
 
-They are the service state (format: ``kelpcroft.store.handover``) and the times of earlier starts (format:
-``kelpcroft.startup.crash_loop_backoff``).  Each file is written under a temporary name, then renamed.
+They are the service state (format: ``kelpcroft.store.handover``), the feed record (format:
+``kelpcroft.net.feed_record_codec``) and the times of earlier starts (format:
+``kelpcroft.startup.crash_loop_backoff``).  Each file is written under a temporary name, then renamed.  The
+time of the feed record's last modification tells whether its process still runs.
 """
 
 from __future__ import annotations
 
+import contextlib
 import os
 import time
 
 from kelpcroft.core import effects, inputs
+from kelpcroft.net.feed_record_codec import (
+    MAX_RECORD_BYTES,
+    RecordTooLargeError,
+    decode_feed_record,
+    encode_feed_record,
+)
 from kelpcroft.net.transport import Transport
 from kelpcroft.startup import crash_loop_backoff
 from kelpcroft.store import handover
 
 
 class PredecessorFiles:
-    """Carries out the reducer's effects that write and read the service state."""
+    """Carries out the reducer's effects that write and read the service state and the feed record."""
 
     def __init__(self, transport: Transport) -> None:
         self.transport = transport
@@ -29,12 +38,7 @@
         try:
             write_handover(config.state_dir, config.name, self.transport.clock.now(), effect)
         except OSError as error:
-            self.transport.log(
-                "handover.unwritten",
-                f"service state not written for the next process: {error}",
-                {"why": str(error)},
-                "warning",
-            )
+            self.log_unwritten("service state", error)
 
     def read_predecessor_state(self, _effect: effects.ReadPredecessorState) -> None:
         """Reports to the reducer if the predecessor, which ran beside this process, has recorded its end."""
@@ -43,6 +47,38 @@
         if state is not None and state.ended_at_ns:
             self.transport.handle_input(inputs.PredecessorEnded(state.ended_at_ns))
 
+    def persist_feed_record(self, effect: effects.PersistFeedRecord) -> None:
+        """Writes the feed record for this process's successor."""
+        config = self.transport.config
+        try:
+            data = encode_feed_record(config.name, os.getpid(), effect.record)
+            _replace_file(feed_record_path(config.state_dir, config.name), data)
+        except (OSError, RecordTooLargeError) as error:
+            self.log_unwritten("feed record", error)
+
+    def touch_feed_record(self, _effect: effects.TouchFeedRecord) -> None:
+        """Sets the time of the feed record's last modification to now, if there is a record."""
+        config = self.transport.config
+        now_ns = self.transport.clock.now()
+        with contextlib.suppress(OSError):
+            os.utime(feed_record_path(config.state_dir, config.name), ns=(now_ns, now_ns))
+
+    def read_predecessor_feed(self, _effect: effects.ReadPredecessorFeed) -> None:
+        """Reports the predecessor's feed record to the reducer, if there is one."""
+        config = self.transport.config
+        predecessor_feed = read_feed_record(config.state_dir, config.name, self.transport.clock.now())
+        if predecessor_feed is not None:
+            self.transport.handle_input(predecessor_feed)
+
+    def log_unwritten(self, what: str, error: Exception) -> None:
+        """Logs that a file could not be written."""
+        self.transport.log(
+            "handover.unwritten",
+            f"{what} not written for the next process: {error}",
+            {"why": str(error)},
+            "warning",
+        )
+
 
 def read_handover(folder: str, name: str) -> inputs.PredecessorState | None:
     """Reads the service state that the predecessor left; None without a folder (``$TMPDIR``) or a file."""
@@ -61,6 +97,28 @@
     return inputs.PredecessorState(record.in_service, record.since_ns, ended_at_ns=record.ended_ns)
 
 
+def feed_record_path(folder: str, name: str) -> str:
+    """The path of a router's feed record; a slash in the name, which the platform gives, is replaced."""
+    return f"{folder.rstrip('/')}/kelpcroft-{name.replace('/', '_')}-feed.json"
+
+
+def read_feed_record(folder: str, name: str, now_ns: int) -> inputs.PredecessorFeed | None:
+    """Reads the feed record that the predecessor left; None without a folder (``$TMPDIR``) or a file."""
+    if not folder:
+        return None
+    path = feed_record_path(folder, name)
+    try:
+        age_ns = max(0, now_ns - os.stat(path).st_mtime_ns)
+        record = decode_feed_record(_read_file(path, MAX_RECORD_BYTES + 1), name)
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        return inputs.PredecessorFeed(None, reason=f"{path}: {error.strerror}")
+    except handover.UnusableFileError as error:
+        return inputs.PredecessorFeed(None, reason=f"{path}: {error}")
+    return inputs.PredecessorFeed(record, age_ns)
+
+
 def write_handover(folder: str, name: str, now_ns: int, state: effects.PersistServiceState) -> None:
     """Writes the service state.
 
@@ -104,10 +162,10 @@
     return crash_loop_backoff.crash_loop_delay_ns(earlier_starts_ns)
 
 
-def _read_file(path: str) -> bytes:
+def _read_file(path: str, max_bytes: int = handover.MAX_FILE_BYTES) -> bytes:
     """Reads a file up to one byte over its size limit, so that a file over the limit is detected."""
     with open(path, "rb") as file:
-        return file.read(handover.MAX_FILE_BYTES + 1)
+        return file.read(max_bytes + 1)
 
 
 def _replace_file(path: str, data: bytes) -> None:
--- a/kelpcroft/store/handover.py
+++ b/kelpcroft/store/handover.py
@@ -96,11 +96,9 @@
     Raises:
         UnusableFileError: The file is rejected.
     """
-    raw = parse_object(data)
-    check_version(raw)
-    if raw.get("name") != name:
-        shown = str(raw.get("name"))[:MAX_SHOWN_NAME_CHARACTERS]
-        raise UnusableFileError(f"name: {shown!r} is another router's")
+    raw = parse_object(data, MAX_FILE_BYTES)
+    check_version(raw, VERSION)
+    check_name(raw, name)
     check_fields(raw)
     written_ns = raw["written_ms"] * NS_PER_MS
     if written_ns > now_ns + NS_PER_MS * MAX_CLOCK_STEP_MS or not math.isfinite(written_ns):
@@ -116,14 +114,14 @@
     )
 
 
-def parse_object(data: bytes) -> dict[str, Any]:
-    """Decode the file's JSON object.
+def parse_object(data: bytes, max_bytes: int) -> dict[str, Any]:
+    """Decode the JSON object of a file of at most ``max_bytes``.
 
     Raises:
         UnusableFileError: The file is too large, or is not a JSON object.
     """
-    if len(data) > MAX_FILE_BYTES:
-        raise UnusableFileError(f"is over {MAX_FILE_BYTES} bytes")
+    if len(data) > max_bytes:
+        raise UnusableFileError(f"is over {max_bytes} bytes")
     try:
         raw: Any = orjson.loads(data)
     except orjson.JSONDecodeError as error:
@@ -133,14 +131,21 @@
     return raw
 
 
-def check_version(raw: dict[str, Any]) -> None:
-    """Raise UnusableFileError for a version that this reader does not support."""
+def check_version(raw: dict[str, Any], supported: int) -> None:
+    """Raise UnusableFileError for a version of a file's format that this reader does not support."""
     version = raw.get("v")
     min_version = raw.get("least", version)
-    is_current_or_later = isinstance(version, int) and not isinstance(version, bool) and version >= VERSION
-    if not is_current_or_later or isinstance(min_version, bool) or min_version != VERSION:
+    is_current_or_later = isinstance(version, int) and not isinstance(version, bool) and version >= supported
+    if not is_current_or_later or isinstance(min_version, bool) or min_version != supported:
         shown = str(version)[:MAX_SHOWN_CHARACTERS]
-        raise UnusableFileError(f"v: {shown!r} is not a version known here ({VERSION})")
+        raise UnusableFileError(f"v: {shown!r} is not a version known here ({supported})")
+
+
+def check_name(raw: dict[str, Any], name: str) -> None:
+    """Raise UnusableFileError for a file of another router."""
+    if raw.get("name") != name:
+        shown = str(raw.get("name"))[:MAX_SHOWN_NAME_CHARACTERS]
+        raise UnusableFileError(f"name: {shown!r} is another router's")
 
 
 def check_fields(raw: dict[str, Any]) -> None:
--- a/kelpcroft/store/identity.py
+++ b/kelpcroft/store/identity.py
@@ -28,6 +28,11 @@
     return blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
 
 
+def json_digest(value: Any) -> str:
+    """Digest of a JSON value, independent of the order of keys."""
+    return hex_digest(orjson.dumps(value, option=orjson.OPT_SORT_KEYS))
+
+
 def settings_digest(settings: Any) -> str:
     """Digest of settings, independent of the order of their keys.
 
@@ -36,7 +41,7 @@
     """
     if isinstance(settings, dict):
         settings = {key: value for key, value in settings.items() if key not in ROUTER_KEYS}
-    return hex_digest(orjson.dumps(settings, option=orjson.OPT_SORT_KEYS))
+    return json_digest(settings)
 
 
 def files_digest(files: Iterable[tuple[str, bytes]]) -> str:
--- a/testbed/router_process.py
+++ b/testbed/router_process.py
@@ -125,6 +125,8 @@
         release: bool = False,
         settings: dict[str, Any] | None = None,
         mgmt: bool = False,
+        listener: socket.socket | None = None,
+        predecessor: RouterProcess | None = None,
     ) -> None:
         """Start the process.
 
@@ -135,31 +137,43 @@
             release: Start it as `run` does, without assertions.
             settings: Values that replace keys of the example's settings.
             mgmt: Give it a control address, which is ``self.control_address``.
+            listener: The clients' listening socket, which the process inherits; None = it binds its own.
+            predecessor: The router's process before this one, whose configuration file and ``$TMPDIR`` it
+                uses, as in an upgrade.
         """
         self._directory = tempfile.TemporaryDirectory()
         folder = Path(self._directory.name)
         self.rules_path = folder / "rules.kdl"
-        self.config_path = folder / "config.json"
+        self.state_dir: Path = folder if predecessor is None else predecessor.state_dir
+        self.config_path = self.state_dir / "config.json"
         self.log_path = folder / "log"
         with (
             socket.create_server(("127.0.0.1", 0)) as client_listener,
             socket.create_server(("127.0.0.1", 0)) as control_listener,
         ):
-            self.address = client_listener.getsockname()[:2]
+            self.address = (listener or client_listener).getsockname()[:2]
             self.control_address = control_listener.getsockname()[:2]
-        config = self._configuration(servers, settings or {})
-        if mgmt:
-            config["mgmt"] = f"127.0.0.1:{self.control_address[1]}"
-        self.config_path.write_text(json.dumps(config))
+        if predecessor is None:
+            self.config_path.write_text(json.dumps(self._configuration(servers, settings or {})))
         env = {**os.environ, "ROUTER_CONFIG": str(self.config_path), "ROUTER_LOG": "json"}
         env.pop("ROUTER_RULES", None)
+        if mgmt:
+            env["ROUTER_MGMT"] = f"127.0.0.1:{self.control_address[1]}"
+        if listener is not None:
+            env["ROUTER_FD"] = str(listener.fileno())
+            env["TMPDIR"] = str(self.state_dir)
         if rules is not None:
             self.rules_path.write_text(rules)
             env["ROUTER_RULES"] = str(self.rules_path)
         options = ["-O"] if release else []
         with self.log_path.open("w") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *options, "-m", "kelpcroft"], cwd=program, env=env, stderr=log, stdout=log
+                [sys.executable, *options, "-m", "kelpcroft"],
+                cwd=program,
+                env=env,
+                stderr=log,
+                stdout=log,
+                pass_fds=() if listener is None else (listener.fileno(),),
             )
 
     def _configuration(self, servers: StandInServers, settings: dict[str, Any]) -> dict[str, Any]:
--- a/testbed/stand_ins.py
+++ b/testbed/stand_ins.py
@@ -141,6 +141,7 @@
         self.feed_requests: list[FeedRequest] = []
         self.max_feed_requests_per_s = 0  # more watch requests in a second crash the feed; 0 = no limit
         self.feed_down_until_ns = 0  # until then the feed resets every new connection
+        self.feed_is_silent = False  # while set, the feed reads watch requests and responds to none
         self.feed_crashes = 0
         self.events_before_restart = 0  # number of events before its last restart
         self.lock = threading.Lock()
@@ -330,6 +331,8 @@
 
     def _send_watch_responses(self) -> None:
         """Send due watch responses: new events, or none at the end of the wait."""
+        if self.feed_is_silent:
+            return
         now_ns = time.monotonic_ns()
         with self.lock:
             last_event = len(self.feed_events) - self.events_before_restart + 1
