A successor waits 2 s at most for the feed, and logs when and why it is ready

Not ruled out: a feed that is silent for the whole wait beside a slow start, and a fault outside the program.

Change: the wait is 2 s instead of 4, so that a start of 3 s stays within the 6 s; a new log event, router.ready, tells when and why a process on a shared socket is ready.

Measured: tests/core/test_feed_catch_up.py and tests/program/test_upgrade_feed.py pass.

--- a/kelpcroft/core/feed_catch_up.py
+++ b/kelpcroft/core/feed_catch_up.py
@@ -28,7 +28,7 @@
 from kelpcroft.core.state import MS, SECOND, State
 from kelpcroft.decision import interface as api
 
-MAX_READY_DELAY_NS = 4 * SECOND  # a process is ready by then, whether or not the list service responds
+MAX_READY_DELAY_NS = 2 * SECOND  # a process is ready by then, whether or not the list service responds
 READ_INTERVAL_NS = 250 * MS  # between two readings of the predecessor's record
 PREDECESSOR_LOST_NS = 2_500 * MS  # a predecessor that has not touched its record for so long does not run
 TOLD_AFTER_READY_NS = 2 * SECOND  # the feed's news count as received this long after the process is ready
@@ -84,7 +84,7 @@
     def on_listening(self) -> None:
         """Handle the opening of the listening sockets: without a delay, the process is ready now."""
         if self.is_catching_up and not self.process.awaits_feed:
-            self.become_ready()
+            self.become_ready("without a wait for the list service")
 
     def on_predecessor_feed(self, predecessor: PredecessorFeed) -> None:
         """Apply what the predecessor has learned since its record was last read."""
@@ -99,14 +99,15 @@
             self.state.schedule(READ_INTERVAL_NS, TimerKind.FEED_CATCH_UP, Step.READ)
             self.state.effects.append(ReadPredecessorFeed())
         elif step == Step.READY:
-            self.become_ready()
+            self.become_ready("without a response of the list service")
         else:
             self.limit_age_when_due()
 
-    def become_ready(self) -> None:
+    def become_ready(self, reason: str) -> None:
         """Be ready without a response of the list service."""
         self.process.awaits_feed = False
         self.ready_ns = self.state.now
+        self.log_ready(reason)
         self.state.schedule(TOLD_AFTER_READY_NS, TimerKind.FEED_CATCH_UP, Step.LIMIT_AGE)
 
     def limit_age_when_due(self) -> None:
@@ -134,7 +135,9 @@
         if not self.is_catching_up or not self.position.has_responded:
             return
         self.is_catching_up = False
-        self.process.awaits_feed = False
+        if self.process.awaits_feed:
+            self.process.awaits_feed = False
+            self.log_ready("after the first response of the list service")
         if self.limits_age:
             self.limits_age = False
             self.state.events.append(api.PurgesKnown())
@@ -178,6 +181,13 @@
         applied = {purge_key(received.purge) for received in self.endpoint_list.recent_purges}
         return [purge for purge in record.purges if purge_key(purge) not in applied]
 
+    def log_ready(self, reason: str) -> None:
+        """Log that the process is ready, as far as the feed is concerned."""
+        after_s = round((self.state.now - self.process.started_ns) / SECOND, 3)
+        self.state.log(
+            "router.ready", f"ready {reason}, {after_s} s after the start", "info", {"after_s": after_s}
+        )
+
     def log_refused(self, reason: str) -> None:
         """Log that the predecessor's record cannot be used."""
         self.state.log(
