A successor continues the transition of a reload that its predecessor began

Callers would see: a file makes a class less strict and the router is upgraded within two seconds; the new process repeats a request that may have run, while the replaced file still counts, and it fails requests of a class that the file removes.

Cause: for two seconds after a file a process uses the stricter of this file and those before it, and the new process reads the last file only.

Change: with a shared listening socket, the settings that a file replaces are left in $TMPDIR with the time, and the new process continues the transition for the rest of its time. What a process reads of its predecessor is one record (PredecessorRecords).

Why it works: the new process starts with the stricter of all files of the last two seconds, as its predecessor did, before it accepts a client.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -55,11 +55,8 @@
     gc.freeze()  # objects created so far stay; collections need not visit them
     gc.set_threshold(*GC_THRESHOLDS)
     delay_ns = _crash_loop_delay_ns(config, operator_file)
-    predecessor = predecessor_files.read_handover(config.state_dir, config.name)
-    predecessor_feed = _read_predecessor_feed(config)
-    loop.start(
-        signal_pipe, operator_file, listener, control_listener, predecessor, delay_ns, predecessor_feed
-    )
+    predecessor = predecessor_files.read_predecessor(config)
+    loop.start(signal_pipe, operator_file, listener, control_listener, predecessor, delay_ns)
     loop.run()
     return EXIT_ENDED
 
@@ -119,13 +116,6 @@
     return predecessor_files.crash_loop_delay_ns(config.state_dir, config.name, time.time_ns())
 
 
-def _read_predecessor_feed(config: Config) -> inputs.PredecessorFeed | None:
-    """Return the predecessor's feed record; None if this process does not share its listening socket."""
-    if config.inherited_listener_fd is None:
-        return None
-    return predecessor_files.read_feed_record(config.state_dir, config.name, time.time_ns())
-
-
 def _bad_configuration(reason: str) -> int:
     print(reason, file=sys.stderr)
     return EXIT_BAD_CONFIGURATION
--- a/kelpcroft/core/config_reload.py
+++ b/kelpcroft/core/config_reload.py
@@ -4,18 +4,20 @@
 state.  A file with an error changes nothing, not even the feed; one log line names the first error, the file
 and the number of errors.  A valid file moves the feed immediately and changes the settings in two steps: the
 stricter of the old and new settings for ``TRANSITION_NS``, then the new settings.  A valid file that is read
-during such a transition replaces the file whose settings are pending.
+during such a transition replaces the file whose settings are pending.  In an upgrade, the new process
+continues the transition of its predecessor.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from kelpcroft import config_reload
 from kelpcroft.config import Address, ConfigError, parse_address
+from kelpcroft.core.effects import PersistReplacedSettings
 from kelpcroft.core.feed_watch import FeedWatch
-from kelpcroft.core.inputs import ConfigFileRead
+from kelpcroft.core.inputs import ConfigFileRead, PredecessorSettings, ReplacedSettings
 from kelpcroft.core.messages import TimerKind
 from kelpcroft.core.state import SECOND, State
 from kelpcroft.decision import interface as api
@@ -25,6 +27,7 @@
 RELOADED_KEYS = ("classes", "limits")
 # Keys of ``family_info`` that a reload changes: their lists belong to the classes.
 RELOADED_FAMILY_KEYS = ("goes_through", "multi_part", "max_age_ns", "usable_after_ns", "old_copy_worth")
+MAX_REPLACED_SETTINGS = 8  # replaced settings that are kept for a successor; older ones are dropped
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,8 @@
         self.watch = watch
         # Settings of the last file, whose classes and limits are in use from the end of the transition.
         self.pending_settings: api.Settings | None = None
+        # Settings that clients may still use, as they were replaced less than TRANSITION_NS ago.
+        self.replaced: list[ReplacedSettings] = []
         self.transition_number = 0  # number of transitions begun: only the timer of the last one is valid
 
     def on_file_read(self, read: ConfigFileRead) -> None:
@@ -95,10 +100,12 @@
         """Apply a file that passed all checks."""
         state = self.state
         deferred = deferred_keys(checked.raw["settings"], state.raw_config.get("settings", {}))
+        replaced_settings = state.raw_config.get("settings", {})
         state.raw_config = checked.raw
         feed_text = self.watch.move_feed(checked.feed_address)
         change = config_reload.diff_settings(self.settings_of_last_file(), checked.settings)
         if change or self.replaces_pending(checked.settings):
+            self.record_replaced(replaced_settings)
             self.begin_transition(checked.settings)
         fields: dict[str, object] = {
             "file": path,
@@ -130,11 +137,64 @@
         During an earlier transition, the current settings are the stricter of the files before this one, any
         of which clients may still use.
         """
-        state = self.state
+        transition = config_reload.transition_settings(self.state.settings, settings)
+        self.use_for_transition(transition, settings, config_reload.TRANSITION_NS)
+
+    def use_for_transition(self, transition: api.Settings, settings: api.Settings, duration_ns: int) -> None:
+        """Use the settings of a transition for a time, then others."""
         self.transition_number += 1
-        state.change_settings(config_reload.transition_settings(state.settings, settings))
+        self.state.change_settings(transition)
         self.pending_settings = settings
-        state.schedule(config_reload.TRANSITION_NS, TimerKind.SETTINGS_TRANSITION, self.transition_number)
+        self.state.schedule(duration_ns, TimerKind.SETTINGS_TRANSITION, self.transition_number)
+
+    def record_replaced(self, settings: dict[str, Any]) -> None:
+        """Keep settings that a file replaces now, for a successor process that may start meanwhile."""
+        state = self.state
+        if state.config.inherited_listener_fd is None or not state.config.state_dir:
+            return
+        recent = [r for r in self.replaced if self.is_recent(r)]
+        self.replaced = [*recent, ReplacedSettings(settings, state.now)][-MAX_REPLACED_SETTINGS:]
+        state.effects.append(PersistReplacedSettings(tuple(self.replaced)))
+
+    def is_recent(self, replaced: ReplacedSettings) -> bool:
+        """Whether clients may still use settings that were replaced."""
+        return self.state.now - replaced.replaced_ns < config_reload.TRANSITION_NS
+
+    def on_predecessor_settings(self, predecessor: PredecessorSettings) -> None:
+        """Continue a transition that the predecessor began, for the rest of its time."""
+        state = self.state
+        if predecessor.reason:
+            self.log_predecessor_refused(predecessor.reason)
+        recent = [r for r in predecessor.replaced if self.is_recent(r)]
+        if not recent:
+            return
+        transition = state.settings
+        for replaced in recent:
+            try:
+                old = parse_settings(replaced.settings, state.settings.seed)
+            except (api.SettingsError, KeyError, TypeError, ValueError, AttributeError) as error:
+                self.log_predecessor_refused(f"settings: {error}")
+                return
+            stricter = config_reload.transition_settings(old, transition)
+            transition = replace(state.settings, classes=stricter.classes, limits=stricter.limits)
+        self.replaced = recent
+        ends_ns = min(recent[-1].replaced_ns, state.now) + config_reload.TRANSITION_NS
+        self.use_for_transition(transition, state.settings, ends_ns - state.now)
+        state.log(
+            "handover.settings",
+            "transition to reloaded settings continued from the predecessor",
+            "info",
+            {"rest_s": round((ends_ns - state.now) / SECOND, 3)},
+        )
+
+    def log_predecessor_refused(self, reason: str) -> None:
+        """Log that the predecessor's replaced settings cannot be used."""
+        self.state.log(
+            "handover.refused",
+            f"predecessor's replaced settings not applied: {reason}",
+            "warning",
+            {"why": reason},
+        )
 
     def on_transition_over(self, number: int) -> None:
         """End the transition of the last file: only its classes and limits are used from now on."""
--- a/kelpcroft/core/effects.py
+++ b/kelpcroft/core/effects.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from kelpcroft.core.inputs import FeedRecord
+from kelpcroft.core.inputs import FeedRecord, ReplacedSettings
 from kelpcroft.core.messages import Body, TimerKey, message
 
 # To clients -----------------------------------------------------------------------------------------------
@@ -245,6 +245,13 @@
     """Read the feed record of the predecessor; if there is one, deliver PredecessorFeed."""
 
 
+@message
+class PersistReplacedSettings:
+    """Store the settings that this process replaced last, for the router's successor process (an upgrade)."""
+
+    replaced: tuple[ReplacedSettings, ...]
+
+
 @message
 class SetStateEndpoint:
     """Start or stop serving the state on the control address; the first start delivers ProcessIdentity."""
@@ -279,6 +286,7 @@
     | PersistFeedRecord
     | TouchFeedRecord
     | ReadPredecessorFeed
+    | PersistReplacedSettings
     | SetStateEndpoint
     | DrainClients
     | Exit
--- a/kelpcroft/core/inputs.py
+++ b/kelpcroft/core/inputs.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from kelpcroft.core.messages import Body, TimerKey, message
 from kelpcroft.decision.interface import FillResult, Outcome
@@ -295,6 +295,32 @@
     ended_at_ns: int = 0
 
 
+@message
+class ReplacedSettings:
+    """Settings of a configuration file that a later file replaced while the router ran.
+
+    Attributes:
+        settings: ``settings`` of the file, as JSON.
+        replaced_ns: When the later file was read.
+    """
+
+    settings: dict[str, Any]
+    replaced_ns: int
+
+
+@message
+class PredecessorSettings:
+    """The settings that the router's predecessor process replaced last.
+
+    Attributes:
+        replaced: In the order of the files.
+        reason: Why the predecessor's file could not be used; "" if no file was found.
+    """
+
+    replaced: tuple[ReplacedSettings, ...]
+    reason: str = ""
+
+
 @message
 class FeedRecord:
     """What one process of a router knows from the feed beyond the configuration, for its successor.
@@ -406,6 +432,7 @@
     | ControlRequest
     | PredecessorState
     | PredecessorFeed
+    | PredecessorSettings
     | PredecessorEnded
     | ProcessIdentity
     | ProcessStalled
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -107,6 +107,7 @@
             inputs.ProcessIdentity: self.on_process_identity,
             inputs.PredecessorState: self.predecessor.on_state,
             inputs.PredecessorFeed: self.catch_up.on_predecessor_feed,
+            inputs.PredecessorSettings: self.config_reload.on_predecessor_settings,
             inputs.PredecessorEnded: self.predecessor.on_ended,
             inputs.ConfigFileRead: self.config_reload.on_file_read,
             inputs.OperatorFileRead: self.operator_settings.on_file_read,
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -28,7 +28,7 @@
 from kelpcroft.net.control_endpoint import ControlEndpoint
 from kelpcroft.net.feed_client import FEED_ONLY_NS, FeedClient
 from kelpcroft.net.listeners import Listener
-from kelpcroft.net.predecessor_files import PredecessorFiles
+from kelpcroft.net.predecessor_files import PredecessorFiles, PredecessorRecords
 from kelpcroft.net.server_connections import ServerConnection, ServerConnections
 from kelpcroft.net.signals import ReadConfig, ReadOperatorFile, Signals
 from kelpcroft.net.transport import SECOND, Connection, Transport
@@ -141,6 +141,7 @@
             effects.PersistFeedRecord: self.predecessor.persist_feed_record,
             effects.TouchFeedRecord: self.predecessor.touch_feed_record,
             effects.ReadPredecessorFeed: self.predecessor.read_predecessor_feed,
+            effects.PersistReplacedSettings: self.predecessor.persist_replaced_settings,
             effects.LogEvent: self.transport.write_log_event,
             effects.Exit: self._exit,
         }
@@ -163,9 +164,8 @@
         operator_file: inputs.OperatorFileRead | None = None,
         listener: socket.socket | None = None,
         control_listener: socket.socket | None = None,
-        predecessor: inputs.PredecessorState | None = None,
+        predecessor: PredecessorRecords | None = None,
         crash_loop_delay_ns: int = 0,
-        predecessor_feed: inputs.PredecessorFeed | None = None,
     ) -> None:
         """Opens the listening sockets and starts the reducer.
 
@@ -175,11 +175,11 @@
             listener: The clients' listening socket; None binds one at the configured address.
             control_listener: The listening socket of the control address; None binds one if the
                 configuration names an address.
-            predecessor: The state that the predecessor left.
+            predecessor: What the router's predecessor process left.
             crash_loop_delay_ns: Extra delay of the first list request, for a router that restarts repeatedly.
-            predecessor_feed: The feed record that the predecessor left.
         """
         transport = self.transport
+        predecessor = predecessor or PredecessorRecords()
         self.signals.pipe_fd = signals
         if signals is not None:
             transport.selector.register(signals, selectors.EVENT_READ, None)
@@ -189,11 +189,13 @@
             replicas = operator_file.file.control_replicas
         transport.perform_effects(
             self.reducer.start(
-                self.clock.now(), start_options, crash_loop_delay_ns, replicas, predecessor_feed
+                self.clock.now(), start_options, crash_loop_delay_ns, replicas, predecessor.feed
             )
         )
-        if predecessor is not None:
-            transport.handle_input(predecessor)
+        if predecessor.service_state is not None:
+            transport.handle_input(predecessor.service_state)
+        if predecessor.settings is not None:
+            transport.handle_input(predecessor.settings)
         self.control.listen(control_listener)
         self.acceptor.listen(listener)
         if operator_file is not None:
--- a/kelpcroft/net/predecessor_files.py
+++ b/kelpcroft/net/predecessor_files.py
@@ -1,7 +1,8 @@
 """Files under ``$TMPDIR`` that a process of a router leaves for its successor.
 
 They are the service state (format: ``kelpcroft.store.handover``), the feed record (format:
-``kelpcroft.net.feed_record_codec``) and the times of earlier starts (format:
+``kelpcroft.net.feed_record_codec``), the settings that were replaced last (format:
+``kelpcroft.net.replaced_settings_codec``) and the times of earlier starts (format:
 ``kelpcroft.startup.crash_loop_backoff``).  Each file is written under a temporary name, then renamed.  The
 time of the feed record's last modification tells whether its process still runs.
 """
@@ -11,8 +12,11 @@
 import contextlib
 import os
 import time
+from dataclasses import dataclass
 
+from kelpcroft.config import Config
 from kelpcroft.core import effects, inputs
+from kelpcroft.net import replaced_settings_codec
 from kelpcroft.net.feed_record_codec import (
     MAX_RECORD_BYTES,
     RecordTooLargeError,
@@ -23,9 +27,27 @@
 from kelpcroft.startup import crash_loop_backoff
 from kelpcroft.store import handover
 
+FEED_SUFFIX = "-feed.json"  # ending of the path of the feed record
+SETTINGS_SUFFIX = "-settings.json"  # ending of the path of the replaced settings
+
+
+@dataclass(frozen=True)
+class PredecessorRecords:
+    """What the router's predecessor process left; None where there is no file.
+
+    Attributes:
+        service_state: The service state.
+        feed: The feed record.
+        settings: The settings that were replaced last.
+    """
+
+    service_state: inputs.PredecessorState | None = None
+    feed: inputs.PredecessorFeed | None = None
+    settings: inputs.PredecessorSettings | None = None
+
 
 class PredecessorFiles:
-    """Carries out the reducer's effects that write and read the service state and the feed record."""
+    """Carries out the reducer's effects that write and read the files."""
 
     def __init__(self, transport: Transport) -> None:
         self.transport = transport
@@ -52,7 +74,7 @@
         config = self.transport.config
         try:
             data = encode_feed_record(config.name, os.getpid(), effect.record)
-            _replace_file(feed_record_path(config.state_dir, config.name), data)
+            _replace_file(_path(config.state_dir, config.name, FEED_SUFFIX), data)
         except (OSError, RecordTooLargeError) as error:
             self.log_unwritten("feed record", error)
 
@@ -61,7 +83,7 @@
         config = self.transport.config
         now_ns = self.transport.clock.now()
         with contextlib.suppress(OSError):
-            os.utime(feed_record_path(config.state_dir, config.name), ns=(now_ns, now_ns))
+            os.utime(_path(config.state_dir, config.name, FEED_SUFFIX), ns=(now_ns, now_ns))
 
     def read_predecessor_feed(self, _effect: effects.ReadPredecessorFeed) -> None:
         """Reports the predecessor's feed record to the reducer, if there is one."""
@@ -70,6 +92,15 @@
         if predecessor_feed is not None:
             self.transport.handle_input(predecessor_feed)
 
+    def persist_replaced_settings(self, effect: effects.PersistReplacedSettings) -> None:
+        """Writes the settings that were replaced last for this process's successor."""
+        config = self.transport.config
+        try:
+            data = replaced_settings_codec.encode_replaced_settings(config.name, os.getpid(), effect.replaced)
+            _replace_file(_path(config.state_dir, config.name, SETTINGS_SUFFIX), data)
+        except (OSError, replaced_settings_codec.SettingsTooLargeError) as error:
+            self.log_unwritten("replaced settings", error)
+
     def log_unwritten(self, what: str, error: Exception) -> None:
         """Logs that a file could not be written."""
         self.transport.log(
@@ -97,16 +128,22 @@
     return inputs.PredecessorState(record.in_service, record.since_ns, ended_at_ns=record.ended_ns)
 
 
-def feed_record_path(folder: str, name: str) -> str:
-    """The path of a router's feed record; a slash in the name, which the platform gives, is replaced."""
-    return f"{folder.rstrip('/')}/kelpcroft-{name.replace('/', '_')}-feed.json"
+def read_predecessor(config: Config) -> PredecessorRecords:
+    """Reads what the predecessor left; feed and settings only if the listening socket is shared with it."""
+    folder, name = config.state_dir, config.name
+    service_state = read_handover(folder, name)
+    if config.inherited_listener_fd is None:
+        return PredecessorRecords(service_state)
+    return PredecessorRecords(
+        service_state, read_feed_record(folder, name, time.time_ns()), read_replaced_settings(folder, name)
+    )
 
 
 def read_feed_record(folder: str, name: str, now_ns: int) -> inputs.PredecessorFeed | None:
     """Reads the feed record that the predecessor left; None without a folder (``$TMPDIR``) or a file."""
     if not folder:
         return None
-    path = feed_record_path(folder, name)
+    path = _path(folder, name, FEED_SUFFIX)
     try:
         age_ns = max(0, now_ns - os.stat(path).st_mtime_ns)
         record = decode_feed_record(_read_file(path, MAX_RECORD_BYTES + 1), name)
@@ -119,6 +156,24 @@
     return inputs.PredecessorFeed(record, age_ns)
 
 
+def read_replaced_settings(folder: str, name: str) -> inputs.PredecessorSettings | None:
+    """Reads the settings that the predecessor replaced last; None without a folder or a file."""
+    if not folder:
+        return None
+    path = _path(folder, name, SETTINGS_SUFFIX)
+    try:
+        replaced = replaced_settings_codec.decode_replaced_settings(
+            _read_file(path, replaced_settings_codec.MAX_FILE_BYTES), name
+        )
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        return inputs.PredecessorSettings((), f"{path}: {error.strerror}")
+    except handover.UnusableFileError as error:
+        return inputs.PredecessorSettings((), f"{path}: {error}")
+    return inputs.PredecessorSettings(replaced)
+
+
 def write_handover(folder: str, name: str, now_ns: int, state: effects.PersistServiceState) -> None:
     """Writes the service state.
 
@@ -162,6 +217,11 @@
     return crash_loop_backoff.crash_loop_delay_ns(earlier_starts_ns)
 
 
+def _path(folder: str, name: str, suffix: str) -> str:
+    """The path of a router's file; a slash in the name, which the platform gives, is replaced."""
+    return f"{folder.rstrip('/')}/kelpcroft-{name.replace('/', '_')}{suffix}"
+
+
 def _read_file(path: str, max_bytes: int = handover.MAX_FILE_BYTES) -> bytes:
     """Reads a file up to one byte over its size limit, so that a file over the limit is detected."""
     with open(path, "rb") as file:
