Waiting in select no longer counts as a request's waiting, so an idle router serves it

ProcessStalled, the controller's own pause and the bounds of an iteration guard against a process that really stands still or is short of CPU, and stay.

Found: one thing guards only against being held inside a select. A request counted as unread since the previous select's return, so the time in which an idle router waited for input was subtracted from the client's remaining time.

Callers saw: after 0.6 s of quiet, requests with 300 ms were refused without an attempt in 3 of 5, or sent with 7 or 188 ms; after 0.9 s, 4 of 5 with 600 ms were refused (real processes).

Change: if the select has waited, its input counts as arrived at its return; otherwise, and after a process stall, as before. Whether the client may have left is judged by the longer time, as before. Two tests pass the two times in place of one, with the same assertions.

Why it works: a select that waits had nothing ready when it began, and returns at the first input.

--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -96,7 +96,8 @@
         self.requested_closes: list[tuple[ClientConnection, str]] = []
         self.is_draining = False  # each connection is closed once no response is due on it
         self.logged_losses = 0  # log lines about lost clients since the last sweep
-        self.max_unread_ns = 0  # upper bound of the time that the input being read has waited in the socket
+        self.queued_ns = 0  # how long the input being read counts as having waited in the socket
+        self.max_unread_ns = 0  # upper bound of that time
 
     # Effects ----------------------------------------------------------------------------------------------
 
@@ -137,7 +138,7 @@
         Raises:
             ClientProtocolError: The bytes are not valid messages.
         """
-        messages = connection.codec.receive_data(data, self.max_unread_ns)
+        messages = connection.codec.receive_data(data, self.queued_ns)
         now = self.transport.clock.now()
         if messages:
             connection.has_sent_message = True
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -12,7 +12,7 @@
 import selectors
 import socket
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from kelpcroft.config import Config
 from kelpcroft.core import effects, inputs, messages
@@ -44,6 +44,8 @@
 # An iteration that starts this long after the previous select returned, or a select that returns this long
 # after its timeout, counts as a process stall: the process or the machine was suspended or not scheduled.
 PROCESS_STALL_THRESHOLD_NS: Final = SECOND // 4
+# A select that returns later than this has waited: nothing was ready when it began.
+MIN_SELECT_WAIT_NS: Final = SECOND // 1_000
 MAX_SHUTDOWN_DELAY_NS: Final = SECOND  # unread requests delay the exit by at most this long
 # Interval at which a delayed exit is retried.
 SHUTDOWN_RETRY_INTERVAL_NS: Final = MAX_SHUTDOWN_DELAY_NS // 100
@@ -54,6 +56,20 @@
 ReadyConnection = tuple[Connection, int]  # a connection and the events that the selector reported for it
 
 
+class Arrival(NamedTuple):
+    """When input that the selector reports arrived.
+
+    Attributes:
+        earliest_ns: The earliest time: when the previous select returned.
+        assumed_ns: The time from which it counts as waiting.  If the select has waited, this is its return,
+            as it returns at the first input; otherwise it is the earliest time, as the input may have arrived
+            while the process was busy.
+    """
+
+    earliest_ns: int
+    assumed_ns: int
+
+
 class ReadyConnections:
     """The connections that the selector reported in one iteration, grouped in the order of handling."""
 
@@ -250,11 +266,14 @@
         previous_select_ns = self.last_select_ns  # input reported now arrived after this
         self.last_select_ns = self.clock.now()
         select_delay_ns = self.last_select_ns - started_ns - int(wait_s * SECOND)
-        if (
+        has_stalled = (
             started_ns - previous_select_ns > PROCESS_STALL_THRESHOLD_NS
             or select_delay_ns > PROCESS_STALL_THRESHOLD_NS
-        ):
+        )
+        if has_stalled:
             self.feed.refresh_after_stall()
+        has_waited = self.last_select_ns - started_ns > MIN_SELECT_WAIT_NS and not has_stalled
+        arrival = Arrival(previous_select_ns, self.last_select_ns if has_waited else previous_select_ns)
         ready = self._group_ready(reported)
         for connection, events in ready.control:
             self.handle_ready(connection, events)
@@ -265,11 +284,11 @@
             return
         self.feed.feed_only_until_ns = 0
         self.last_flush_ns = self.clock.now()
-        self.read_disconnects(ready.clients, previous_select_ns)
+        self.read_disconnects(ready.clients, arrival)
         for connection, events in ready.servers:
             self.handle_ready(connection, events)
             self._flush_in_long_iteration()
-        self.dispatch_requests(ready.clients, previous_select_ns)
+        self.dispatch_requests(ready.clients, arrival)
         now = self.clock.now()
         self._fire_timers(now)
         self.feed.fail_if_overdue(now)
@@ -309,7 +328,7 @@
         if events & selectors.EVENT_READ and connection.is_open():
             connection.handler.read(connection)
 
-    def read_disconnects(self, ready: list[ReadyConnection], previous_select_ns: int) -> None:
+    def read_disconnects(self, ready: list[ReadyConnection], arrival: Arrival) -> None:
         """Reads the clients that have open requests, before any output caused by those requests.
 
         A disconnect or a cancel takes effect immediately; requests wait for ``dispatch_requests``.  If
@@ -325,19 +344,23 @@
                 and connection.number in self.reducer.state.requests_by_client
                 and len(connection.pending_messages) < MAX_PENDING_MESSAGES
             ):
-                self.clients.max_unread_ns = self.clock.now() - (
-                    connection.unread_since_ns or previous_select_ns
-                )
-                connection.unread_since_ns = 0
+                self._record_unread_time(connection, arrival)
                 self.clients.read(connection)
                 ready[index] = connection, events & ~selectors.EVENT_READ
 
-    def dispatch_requests(self, ready: list[ReadyConnection], previous_select_ns: int) -> None:
+    def _record_unread_time(self, connection: Connection, arrival: Arrival) -> None:
+        """Tells the clients' handler how long the input that is read next has waited in its socket."""
+        now = self.clock.now()
+        unread_since_ns = connection.unread_since_ns or arrival.assumed_ns
+        connection.unread_since_ns = 0
+        self.clients.queued_ns = now - unread_since_ns
+        self.clients.max_unread_ns = now - min(unread_since_ns, arrival.earliest_ns)
+
+    def dispatch_requests(self, ready: list[ReadyConnection], arrival: Arrival) -> None:
         """Reads and dispatches new requests, for a bounded time.
 
         The remaining requests stay in their sockets and queues, so that a router short of CPU still reads
-        the feed and forwards responses.  Input that is reported now may have arrived at any time since
-        ``previous_select_ns``, when the previous select returned.
+        the feed and forwards responses.
         """
         deadline_ns = self.last_select_ns + MAX_DISPATCH_NS
         clients_with_pending: list[ReadyConnection] = [
@@ -345,17 +368,16 @@
         ]
         for index, (connection, events) in enumerate(clients_with_pending + ready):
             if events and not connection.unread_since_ns:
-                connection.unread_since_ns = previous_select_ns
+                connection.unread_since_ns = arrival.assumed_ns
             if self.clock.now() > deadline_ns:
                 for undispatched, undispatched_events in ready[
                     max(0, index + 1 - len(clients_with_pending)) :
                 ]:
                     if undispatched_events and not undispatched.unread_since_ns:
-                        undispatched.unread_since_ns = previous_select_ns
+                        undispatched.unread_since_ns = arrival.assumed_ns
                 return
             if events:
-                self.clients.max_unread_ns = self.clock.now() - connection.unread_since_ns
-                connection.unread_since_ns = 0
+                self._record_unread_time(connection, arrival)
                 self.handle_ready(connection, events)
             if isinstance(connection, ClientConnection):
                 self.clients.dispatch_pending(connection)
@@ -371,7 +393,7 @@
         for key, events in self.transport.selector.select(0):
             if key.data is not None:
                 ready.add(key.data, events)
-        self.read_disconnects(ready.clients, self.last_flush_ns)
+        self.read_disconnects(ready.clients, Arrival(self.last_flush_ns, self.last_flush_ns))
         self.last_flush_ns = now
 
     def flush(self) -> None:
--- a/tests/core/test_components.py
+++ b/tests/core/test_components.py
@@ -22,7 +22,7 @@
     ClientConnection,
 )
 from kelpcroft.net.clock import Clock
-from kelpcroft.net.event_loop import MAX_DISPATCH_NS, EventLoop
+from kelpcroft.net.event_loop import MAX_DISPATCH_NS, Arrival, EventLoop
 from kelpcroft.net.server_codec import ServerCodec
 from kelpcroft.net.server_connections import PARTIAL_RESPONSE_TIMEOUT_NS, ServerConnection
 from tests.support.exchange_player import EXAMPLE
@@ -142,7 +142,7 @@
         peers = [ClientConnection(loop.clients, n, socket.socket(), NOW) for n in range(6)]
         for peer in peers:
             self.addCleanup(peer.sock.close)
-        loop.dispatch_requests([(peer, 1) for peer in peers], NOW - 5)
+        loop.dispatch_requests([(peer, 1) for peer in peers], Arrival(NOW - 5, NOW - 5))
         assert 0 < len(peers_read) < 6
         assert all(p.unread_since_ns == NOW - 5 for p in peers[len(peers_read) :])
 
--- a/tests/core/test_disconnected_clients.py
+++ b/tests/core/test_disconnected_clients.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from kelpcroft.net.event_loop import LONG_ITERATION_FLUSH_INTERVAL_NS, MAX_DISPATCH_NS
+from kelpcroft.net.event_loop import LONG_ITERATION_FLUSH_INTERVAL_NS, MAX_DISPATCH_NS, Arrival
 from kelpcroft.net.server_connections import ServerConnection
 from kelpcroft.net.transport import Connection as RouterConnection
 from tests.support.loop_harness import MS, SECOND, LoopHarness, Peer, client_request, server_response
@@ -172,7 +172,7 @@
         client, _cache = self.client_with_attempt(harness)
         (connection,) = harness.loop.clients.open.values()
         client.send(client_request(2, remaining_ms=900))
-        harness.loop.read_disconnects([(connection, 1)], harness.now)
+        harness.loop.read_disconnects([(connection, 1)], Arrival(harness.now, harness.now))
         assert len(connection.pending_messages) == 1
         harness.now += 200 * MS
         harness.loop.clients.dispatch_pending(connection)
