Reducer passes its timer handlers by table, and reported connections are a module of their own

Cause: Timers took ten components to look up one method of each, and the event loop had grown by the records of what the selector reports.

Change: Reducer has two tables of timer handlers beside that of inputs, and Timers takes them; ReadyConnections and Arrival are in kelpcroft/net/ready_connections.py, which is compiled with the loop. No behaviour changes.

--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -28,6 +28,7 @@
 from kelpcroft.core.feed_watch import FeedWatch
 from kelpcroft.core.housekeeping import Housekeeping
 from kelpcroft.core.inputs import Input
+from kelpcroft.core.messages import TimerKind
 from kelpcroft.core.operator_settings import OperatorSettings
 from kelpcroft.core.predecessor import Predecessor
 from kelpcroft.core.process_log import log_deployment
@@ -73,16 +74,7 @@
         self.housekeeping = Housekeeping(self.state, self.attempts.connections, self.operator_settings)
         self.shutdown = Shutdown(self.state, self.process, self.housekeeping)
         self.timers = Timers(
-            self.state,
-            self.attempts,
-            self.silence_detector,
-            self.position,
-            self.housekeeping,
-            self.predecessor,
-            self.config_reload,
-            self.shutdown,
-            self.feed_recorder,
-            self.catch_up,
+            self.state, self.attempts, self.numbered_timer_handlers(), self.unnumbered_timer_handlers()
         )
         self.handlers = self.input_handlers()
 
@@ -114,6 +106,28 @@
             inputs.ShutdownRequested: self.shutdown.on_requested,
         }
 
+    def numbered_timer_handlers(self) -> dict[TimerKind, Callable[[int], None]]:
+        """The handler of each kind of timer that is scheduled with a number."""
+        return {
+            TimerKind.ATTEMPT_TIMEOUT: self.attempts.on_timeout,
+            TimerKind.CONNECT_TIMEOUT: self.attempts.on_connect_timeout,
+            TimerKind.HEALTH_CHECK_TIMEOUT: self.attempts.health_checks.on_timeout,
+            TimerKind.CONNECTION_SILENCE: self.silence_detector.on_timer,
+            TimerKind.RETRY_BACKOFF: self.attempts.on_backoff_elapsed,
+            TimerKind.SETTINGS_TRANSITION: self.config_reload.on_transition_over,
+            TimerKind.SHUTDOWN: self.shutdown.on_timer,
+            TimerKind.FEED_CATCH_UP: self.catch_up.on_timer,
+        }
+
+    def unnumbered_timer_handlers(self) -> dict[TimerKind, Callable[[], None]]:
+        """The handler of each kind of which there is only one timer."""
+        return {
+            TimerKind.SEND_WATCH_REQUEST: self.position.send_watch_request,
+            TimerKind.HOUSEKEEPING: self.housekeeping.on_timer,
+            TimerKind.FEED_RECORD: self.feed_recorder.on_timer,
+            TimerKind.RESTART_OVERLAP: self.predecessor.update_budget_share,
+        }
+
     @property
     def is_shutting_down(self) -> bool:
         """Whether SIGTERM was received."""
--- a/kelpcroft/core/timers.py
+++ b/kelpcroft/core/timers.py
@@ -2,19 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from kelpcroft.core.attempts import Attempts
-from kelpcroft.core.config_reload import ConfigReload
-from kelpcroft.core.feed_catch_up import FeedCatchUp
-from kelpcroft.core.feed_position import FeedPosition
-from kelpcroft.core.feed_recorder import FeedRecorder
-from kelpcroft.core.housekeeping import Housekeeping
 from kelpcroft.core.inputs import TimerFired
 from kelpcroft.core.messages import TimerKind
-from kelpcroft.core.predecessor import Predecessor
-from kelpcroft.core.shutdown import Shutdown
-from kelpcroft.core.silence_detection import SilenceDetector
 from kelpcroft.core.state import State
 from kelpcroft.decision import interface as api
 
@@ -26,36 +18,21 @@
         self,
         state: State,
         attempts: Attempts,
-        silence_detector: SilenceDetector,
-        position: FeedPosition,
-        housekeeping: Housekeeping,
-        predecessor: Predecessor,
-        config_reload: ConfigReload,
-        shutdown: Shutdown,
-        feed_recorder: FeedRecorder,
-        catch_up: FeedCatchUp,
+        numbered_handlers: Mapping[TimerKind, Callable[[int], None]],
+        unnumbered_handlers: Mapping[TimerKind, Callable[[], None]],
     ) -> None:
+        """Create the dispatch.
+
+        Args:
+            state: The state, to which the timers of the decision package are passed as events.
+            attempts: Handles hedges.
+            numbered_handlers: Handlers that receive the number with which the timer was scheduled.
+            unnumbered_handlers: Handlers of the kinds that have only one timer.
+        """
         self.state = state
         self.attempts = attempts
-        # Handlers that receive the number with which the timer was scheduled.
-        self.numbered_handlers: dict[TimerKind, Callable[[int], None]] = {
-            TimerKind.ATTEMPT_TIMEOUT: attempts.on_timeout,
-            TimerKind.DECISION: self.on_decision_timer,
-            TimerKind.CONNECT_TIMEOUT: attempts.on_connect_timeout,
-            TimerKind.HEALTH_CHECK_TIMEOUT: attempts.health_checks.on_timeout,
-            TimerKind.CONNECTION_SILENCE: silence_detector.on_timer,
-            TimerKind.RETRY_BACKOFF: attempts.on_backoff_elapsed,
-            TimerKind.SETTINGS_TRANSITION: config_reload.on_transition_over,
-            TimerKind.SHUTDOWN: shutdown.on_timer,
-            TimerKind.FEED_CATCH_UP: catch_up.on_timer,
-        }
-        # Handlers of the kinds that have only one timer.
-        self.unnumbered_handlers: dict[TimerKind, Callable[[], None]] = {
-            TimerKind.SEND_WATCH_REQUEST: position.send_watch_request,
-            TimerKind.HOUSEKEEPING: housekeeping.on_timer,
-            TimerKind.FEED_RECORD: feed_recorder.on_timer,
-            TimerKind.RESTART_OVERLAP: predecessor.update_budget_share,
-        }
+        self.numbered_handlers = {**numbered_handlers, TimerKind.DECISION: self.on_decision_timer}
+        self.unnumbered_handlers = unnumbered_handlers
 
     def on_fired(self, fired: TimerFired) -> None:
         """Pass an expired timer to its handler."""
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -12,7 +12,7 @@
 import selectors
 import socket
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from kelpcroft.config import Config
 from kelpcroft.core import effects, inputs, messages
@@ -29,7 +29,8 @@
 from kelpcroft.net.feed_client import FEED_ONLY_NS, FeedClient
 from kelpcroft.net.listeners import Listener
 from kelpcroft.net.predecessor_files import PredecessorFiles, PredecessorRecords
-from kelpcroft.net.server_connections import ServerConnection, ServerConnections
+from kelpcroft.net.ready_connections import Arrival, ReadyConnection, ReadyConnections
+from kelpcroft.net.server_connections import ServerConnections
 from kelpcroft.net.signals import ReadConfig, ReadOperatorFile, Signals
 from kelpcroft.net.transport import SECOND, Connection, Transport
 
@@ -53,39 +54,6 @@
 
 # Due time, unique number, key of the timer; the heap is ordered by the first two.
 Timer = tuple[int, int, messages.TimerKey]
-ReadyConnection = tuple[Connection, int]  # a connection and the events that the selector reported for it
-
-
-class Arrival(NamedTuple):
-    """When input that the selector reports arrived.
-
-    Attributes:
-        earliest_ns: The earliest time: when the previous select returned.
-        assumed_ns: The time from which it counts as waiting.  If the select has waited, this is its return,
-            as it returns at the first input; otherwise it is the earliest time, as the input may have arrived
-            while the process was busy.
-    """
-
-    earliest_ns: int
-    assumed_ns: int
-
-
-class ReadyConnections:
-    """The connections that the selector reported in one iteration, grouped in the order of handling."""
-
-    def __init__(self) -> None:
-        self.control: list[ReadyConnection] = []  # the feed and control clients
-        self.servers: list[ReadyConnection] = []
-        self.clients: list[ReadyConnection] = []
-
-    def add(self, connection: Connection, events: int) -> None:
-        """Adds a connection to the group of its kind."""
-        if isinstance(connection, ClientConnection):
-            self.clients.append((connection, events))
-        elif isinstance(connection, ServerConnection):
-            self.servers.append((connection, events))
-        else:
-            self.control.append((connection, events))
 
 
 class EventLoop:
--- a/tests/core/test_components.py
+++ b/tests/core/test_components.py
@@ -22,7 +22,8 @@
     ClientConnection,
 )
 from kelpcroft.net.clock import Clock
-from kelpcroft.net.event_loop import MAX_DISPATCH_NS, Arrival, EventLoop
+from kelpcroft.net.event_loop import MAX_DISPATCH_NS, EventLoop
+from kelpcroft.net.ready_connections import Arrival
 from kelpcroft.net.server_codec import ServerCodec
 from kelpcroft.net.server_connections import PARTIAL_RESPONSE_TIMEOUT_NS, ServerConnection
 from tests.support.exchange_player import EXAMPLE
--- a/tests/core/test_disconnected_clients.py
+++ b/tests/core/test_disconnected_clients.py
@@ -6,7 +6,8 @@
 
 import msgpack
 
-from kelpcroft.net.event_loop import LONG_ITERATION_FLUSH_INTERVAL_NS, MAX_DISPATCH_NS, Arrival
+from kelpcroft.net.event_loop import LONG_ITERATION_FLUSH_INTERVAL_NS, MAX_DISPATCH_NS
+from kelpcroft.net.ready_connections import Arrival
 from kelpcroft.net.server_connections import ServerConnection
 from kelpcroft.net.transport import Connection as RouterConnection
 from tests.support.loop_harness import MS, SECOND, LoopHarness, Peer, client_request, server_response
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -79,6 +79,7 @@
     "kelpcroft/net/feed_client.py",
     "kelpcroft/net/control_endpoint.py",
     "kelpcroft/net/signals.py",
+    "kelpcroft/net/ready_connections.py",
     "kelpcroft/net/event_loop.py",
 )
 # Symbols are not exported, unused functions are removed, and there are no tables for unwinding C++
