--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from world_2 import (
-    METER,
     TT_KITS,
     Answer,
     CannotRunError,
@@ -24,6 +23,7 @@
     Server,
     has_trouble,
     main,
+    meter,
     served,
 )
 
@@ -44,7 +44,7 @@
             runs[order] = runs.get(order, 0) + 1
         record.write(f"store RUNS {order} ({pull.id} by {pull.server}), run {runs[order]}, and answers BROKE")
         time.sleep(0.02)
-        return Answer("BROKE", b"", METER)
+        return Answer("BROKE", b"", meter())
 
     servers = [Server(role, number, record, behave) for role, number in SERVERS]
     platform = Platform(record, TT_KITS, servers, holds_listener=True)
--- a/review/world_2.py
+++ b/review/world_2.py
@@ -176,6 +176,7 @@
                     )
                     pull = Pull(self.name, request_id, fields, strings[3], self.record.now_s())
                     pulls[request_id] = pull
+                    self.record.write(f"{self.name} gets {fields['cls']} {request_id}")
                     threading.Thread(target=self.answer, args=(sock, lock, pull), daemon=True).start()
                 elif word == "KILL" and request_id in pulls:
                     self.record.write(f"{self.name} is told to give up {request_id}")
@@ -191,16 +192,24 @@
         if answer.word and not pull.is_given_up.is_set():
             with suppress(OSError):
                 send_answer(sock, lock, pull.id, answer)
+                self.record.write(f"{self.name} answers {pull.id}: {answer.word}, {len(answer.body)} bytes")
                 self.after_answer(sock, lock, pull, answer)
 
 
-METER = "meter=inflight:1;outstanding:1;util:0.2;utilization:0.2;x0:0.7;x1:0.2"
+REPORTED = {"outstanding": "1", "utilization": "0.2", "x0": "0.7", "x1": "0.2"}
+reported_fields: list[str] = []  # those that the settings name, set by the platform
+
+
+def meter() -> str:
+    """The load report of an answer, with the fields that the settings name."""
+    return "meter=" + ";".join(f"{name}:{REPORTED[name]}" for name in reported_fields)
 
 
 def served(pull: Pull, size: int, tell: str = "mem", age_s: float = 0.5) -> Answer:
     """An answer with the bytes of the part that was asked for, from a copy of this age."""
     given_out_ms = int((time.time() - age_s) * 1000)
-    fields = f"sum={pull.fields['item'][::-1]},t0={given_out_ms},tell={tell},slow=0,{METER}"
+    tag = int(pull.fields["item"], 16) ^ (int(pull.fields["chunk"]) + 1)
+    fields = f"sum={tag:016x},t0={given_out_ms},tell={tell},slow=0,{meter()}"
     return Answer("DONE", object_bytes(pull.fields["item"], pull.fields["chunk"], size), fields)
 
 
@@ -371,6 +380,7 @@
         """``holds_listener``: the platform holds the clients' listening socket, as in an upgrade."""
         if not (ROOT / ".compiled" / "now" / "kelpcroft").is_dir() or not (ROOT / ".venv").is_dir():
             raise CannotRunError("the build of the deploy file is missing")
+        reported_fields[:] = site["fields"]
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="kelpcroft-review-"))
         self.processes: list[Process] = []
