Peers get fair turns: one that sends without end no longer keeps other clients unread

Cause: ready clients were read in the selector's order, which stays the same, until 20 ms after the select; who used up that time was read again in each iteration, and those behind in none. Servers and clients with open requests were read before, without a bound, on the same 20 ms. A read was bounded by bytes only: 64 KB of cancels were up to 64,000 inputs for requests that were not open.

Change: servers, clients with open requests and clients with new requests get turns, the oldest last turn first, each group for a bounded time; requests are dispatched for 5 ms at least. The size of a read adapts to the messages in the reads before it. A cancel is one message, and only numbers of open or pending requests go on. What one client has pending is bounded in messages and in bytes.

Why it works: whatever a peer sends, its turn is a few reads of bounded work, and it is last in the next iteration; the time of one group is no longer taken from another.

One test forced the order of two servers through the selector; the order is that of the last turns now, so the test sets these. Its assertions are unchanged.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -74,6 +74,7 @@
         return sum(
             self.carry_out(self.router.handle(self.now, message))
             for message in self.client.receive_data(memoryview(data))
+            if isinstance(message, inputs.ClientRequest)
         )
 
     def carry_out(self, effect_list: list[effects.Effect]) -> int:
--- a/kelpcroft/net/client_codec.py
+++ b/kelpcroft/net/client_codec.py
@@ -10,11 +10,12 @@
 import math
 import re
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any, Final
 
 import msgpack
 
-from kelpcroft.core.inputs import CancelRequest, ClientRequest, HealthRequest
+from kelpcroft.core.inputs import ClientRequest, HealthRequest
 from kelpcroft.core.messages import Body
 from kelpcroft.net.errors import ProtocolError
 
@@ -48,7 +49,15 @@
 NO_FIELDS = b"\x80"  # an empty map
 NOT_MODIFIED_FIELDS = msgpack.packb({"keep": "1"})  # the client's copy is current
 
-ClientMessage = ClientRequest | CancelRequest | HealthRequest
+
+@dataclass(frozen=True, slots=True)
+class CancelMessage:
+    """A client cancels requests; it may name requests that are not open."""
+
+    request_numbers: frozenset[int]
+
+
+ClientMessage = ClientRequest | CancelMessage | HealthRequest
 
 
 class ClientProtocolError(ProtocolError):
@@ -126,25 +135,25 @@
         open_requests: set[int] = set()  # requests in these bytes, none of which has a response yet
         for raw in self.unpacker:
             self.decoded_bytes = self.unpacker.tell()
-            for message in self._convert_message(raw):
-                messages.append(message)
-                if isinstance(message, CancelRequest):
-                    open_requests.discard(message.request_number)
-                    continue
-                open_requests.add(message.request_number)
-                if len(open_requests) > MAX_REQUESTS_PER_READ:
-                    raise ClientProtocolError(f"more than {MAX_REQUESTS_PER_READ} requests at once")
+            message = self._convert_message(raw)
+            messages.append(message)
+            if isinstance(message, CancelMessage):
+                open_requests -= message.request_numbers
+                continue
+            open_requests.add(message.request_number)
+            if len(open_requests) > MAX_REQUESTS_PER_READ:
+                raise ClientProtocolError(f"more than {MAX_REQUESTS_PER_READ} requests at once")
         return messages
 
     def has_partial_message(self) -> bool:
         """Whether an incomplete message has been received."""
         return self.received_bytes > self.decoded_bytes
 
-    def _convert_message(self, raw: Any) -> list[ClientMessage]:
-        """Converts one decoded message: a request or a health check, or one cancel for each request named."""
+    def _convert_message(self, raw: Any) -> ClientMessage:
+        """Converts one decoded message: a request, a health check or a cancel."""
         if isinstance(raw, list) and len(raw) == 3 and raw[0] == NOTIFICATION:
             if raw[1] == "cancel" and isinstance(raw[2], list) and all(type(x) is int for x in raw[2]):
-                return [CancelRequest(self.client, request_number) for request_number in raw[2]]
+                return CancelMessage(frozenset(raw[2]))
         elif isinstance(raw, list) and len(raw) == 4 and raw[0] == REQUEST:
             _, request_number, method, params = raw
             if (
@@ -156,9 +165,9 @@
                 and isinstance(params[0], dict)
             ):
                 if method == "health":
-                    return [HealthRequest(self.client, request_number)]
+                    return HealthRequest(self.client, request_number)
                 if len(params) == 2 and isinstance(params[1], (bytes, str)):
-                    return [self._convert_request(request_number, method, params[0], params[1])]
+                    return self._convert_request(request_number, method, params[0], params[1])
         raise ClientProtocolError(f"not a request, a cancel or a health check: {str(raw)[:80]}")
 
     def _convert_request(
--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -9,7 +9,8 @@
 
 from kelpcroft.core import effects, inputs, messages
 from kelpcroft.net.buffers import BUFFER_BYTES
-from kelpcroft.net.client_codec import ClientCodec
+from kelpcroft.net.client_codec import CancelMessage, ClientCodec, ClientMessage
+from kelpcroft.net.fair_turns import FIRST_CLIENT_READ_BYTES, ReadPacer
 from kelpcroft.net.lingering_close import LingeringClients
 from kelpcroft.net.listeners import Listener
 from kelpcroft.net.transport import (
@@ -29,6 +30,11 @@
 POSSIBLE_DISCONNECT_AFTER_NS: Final = SECOND // 20
 # A pending request that waited at most this long keeps its remaining time unchanged.
 MIN_REPORTED_QUEUED_NS: Final = SECOND // 1_000
+# A client with at least this many pending messages, or bytes of request bodies in them, is not read.
+MAX_PENDING_MESSAGES: Final = 64
+MAX_PENDING_BODY_BYTES: Final = 64 * 1024
+MAX_DISPATCHES_PER_TURN: Final = 32  # pending messages of one client that are dispatched in a row
+CANCELS_PER_MESSAGE: Final = 32  # so many requests named in a cancel count as one message
 # Maximum time until a new client's first message, and from the first byte of a message to its last.
 SILENT_CLIENT_TIMEOUT_NS: Final = 2 * SECOND
 # A connection without open requests is closed after this; most clients close theirs after 4 s.
@@ -47,6 +53,8 @@
         super().__init__(handler, sock, now)
         self.number = number
         self.codec = ClientCodec(number, BUFFER_BYTES)
+        self.read_pacer = ReadPacer(FIRST_CLIENT_READ_BYTES)
+        self.last_early_turn = self.last_turn  # number of its last turn among clients with open requests
         self.is_connected = True
         self.has_sent_message = False  # the client has sent at least one complete message
         self.last_message_ns = now  # when the last message arrived, else when the connection was accepted
@@ -57,14 +65,25 @@
         self.closing_since_ns = 0
         self.discarded_bytes = 0  # bytes of input discarded since ``closing_since_ns``
 
-    def cancel_pending(self, request_number: int) -> bool:
-        """Drops a request that the reducer has not received yet; returns whether there was one."""
-        remaining = [
-            pending for pending in self.pending_messages if pending[1].request_number != request_number
-        ]
-        was_pending = len(remaining) < len(self.pending_messages)
-        self.pending_messages = deque(remaining)
-        return was_pending
+    def cancel_pending(self, request_numbers: frozenset[int]) -> set[int]:
+        """Drops requests that the reducer has not received yet; returns the numbers of those dropped."""
+        dropped = {pending[1].request_number for pending in self.pending_messages} & request_numbers
+        if dropped:
+            self.pending_messages = deque(
+                pending for pending in self.pending_messages if pending[1].request_number not in dropped
+            )
+        return dropped
+
+    def has_full_backlog(self) -> bool:
+        """Whether so much is pending that the client is not read before some of it is dispatched."""
+        if not self.pending_messages:
+            return False
+        body_bytes = sum(
+            len(message.body)
+            for _, message in self.pending_messages
+            if isinstance(message, inputs.ClientRequest)
+        )
+        return len(self.pending_messages) >= MAX_PENDING_MESSAGES or body_bytes >= MAX_PENDING_BODY_BYTES
 
     def is_silent(self, now: int) -> bool:
         """Whether a client has been silent for too long, within a message or before its first one."""
@@ -139,6 +158,7 @@
             ClientProtocolError: The bytes are not valid messages.
         """
         messages = connection.codec.receive_data(data, self.queued_ns)
+        connection.read_pacer.record(len(data), _work_of(messages))
         now = self.transport.clock.now()
         if messages:
             connection.has_sent_message = True
@@ -149,20 +169,28 @@
         elif not connection.partial_since_ns:
             connection.partial_since_ns = now
         for message in messages:
-            if isinstance(message, inputs.CancelRequest):
-                # A pending request is dropped without an attempt, and no response to it is due.
-                if not connection.cancel_pending(message.request_number):
-                    self.transport.handle_input(message)
+            if isinstance(message, CancelMessage):
+                self.cancel(connection, message.request_numbers)
             else:
                 connection.pending_messages.append((now, message))
                 self.clients_with_pending[connection] = None
 
+    def cancel(self, client: ClientConnection, request_numbers: frozenset[int]) -> None:
+        """Cancels a client's requests; numbers of requests that are not open cost nothing."""
+        # A pending request is dropped without an attempt, and no response to it is due.
+        dropped = client.cancel_pending(request_numbers)
+        open_numbers = self.transport.reducer.state.requests_by_client.get(client.number, {}).keys()
+        for request_number in sorted(open_numbers & request_numbers - dropped):
+            self.transport.handle_input(inputs.CancelRequest(client.number, request_number))
+
     def dispatch_pending(self, client: ClientConnection) -> None:
-        """Passes a client's pending messages to the reducer, in the order in which they were sent.
+        """Passes a client's next pending messages to the reducer, in the order in which they were sent.
 
         A request's remaining time counts from its sending, so the time that it was pending is subtracted.
         """
-        while client.pending_messages and not client.is_closing:
+        for _ in range(MAX_DISPATCHES_PER_TURN):
+            if not client.pending_messages or client.is_closing:
+                break
             read_ns, message = client.pending_messages.popleft()
             queued_ns = self.transport.clock.now() - read_ns
             if queued_ns > MIN_REPORTED_QUEUED_NS and isinstance(message, inputs.ClientRequest):
@@ -172,8 +200,10 @@
                     queued_ns=message.queued_ns + queued_ns,
                 )
             self.transport.handle_input(message)
-        client.pending_messages.clear()
-        self.clients_with_pending.pop(client, None)
+        if client.is_closing:
+            client.pending_messages.clear()
+        if not client.pending_messages:
+            self.clients_with_pending.pop(client, None)
 
     def malformed_input(self, connection: ClientConnection, reason: str) -> None:
         """Closes a connection after malformed input; the client can still read the responses already sent."""
@@ -298,3 +328,11 @@
                 is_idle = now - client.last_message_ns > IDLE_CLIENT_TIMEOUT_NS and self.is_idle(client)
                 if (client.is_silent(now) or is_idle) and not client.has_unread_input():
                     self.close_gracefully(client)
+
+
+def _work_of(messages: list[ClientMessage]) -> int:
+    """Returns how many messages a read counts as; a cancel that names many requests counts as several."""
+    cancelled = sum(
+        len(message.request_numbers) for message in messages if isinstance(message, CancelMessage)
+    )
+    return len(messages) + cancelled // CANCELS_PER_MESSAGE
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -26,6 +26,7 @@
 from kelpcroft.net.clock import Clock
 from kelpcroft.net.connector import Connector
 from kelpcroft.net.control_endpoint import ControlEndpoint
+from kelpcroft.net.fair_turns import in_turn
 from kelpcroft.net.feed_client import FEED_ONLY_NS, FeedClient
 from kelpcroft.net.listeners import Listener
 from kelpcroft.net.predecessor_files import PredecessorFiles, PredecessorRecords
@@ -37,10 +38,13 @@
 MAX_WAIT_S: Final = 1.0  # maximum time that one iteration waits for the selector
 # In each iteration, new requests are dispatched for at most this long after the selector returned.
 MAX_DISPATCH_NS: Final = 20_000_000
+# They are dispatched for at least this long, however long servers and disconnects were read before.
+MIN_DISPATCH_NS: Final = 5_000_000
+MAX_SERVER_READ_NS: Final = 20_000_000  # servers are read for at most this long in an iteration
+# Clients with open requests are read for at most this long in a row.
+MAX_DISCONNECT_READ_NS: Final = 10_000_000
 # In a long iteration, queued output is written and disconnects are read at this interval.
 LONG_ITERATION_FLUSH_INTERVAL_NS: Final = 25_000_000
-# A client with at least this many pending messages is not read for a disconnect.
-MAX_PENDING_MESSAGES: Final = 64
 SWEEP_INTERVAL_NS: Final = SECOND // 10  # time between sweeps for silent, idle, stalled and stuck connections
 # An iteration that starts this long after the previous select returned, or a select that returns this long
 # after its timeout, counts as a process stall: the process or the machine was suspended or not scheduled.
@@ -253,9 +257,7 @@
         self.feed.feed_only_until_ns = 0
         self.last_flush_ns = self.clock.now()
         self.read_disconnects(ready.clients, arrival)
-        for connection, events in ready.servers:
-            self.handle_ready(connection, events)
-            self._flush_in_long_iteration()
+        self.read_servers(ready.servers)
         self.dispatch_requests(ready.clients, arrival)
         now = self.clock.now()
         self._fire_timers(now)
@@ -301,20 +303,40 @@
 
         A disconnect or a cancel takes effect immediately; requests wait for ``dispatch_requests``.  If
         disconnects waited behind responses, timers and other clients' requests, a router short of CPU would
-        continue to work for clients that have long disconnected.  The read event of each client that is read
-        here is cleared in ``ready``.
+        continue to work for clients that have long disconnected.  The clients get turns for a bounded time,
+        and ``dispatch_requests`` reads the others.  The read event of each client that is read here is
+        cleared in ``ready``.
         """
+        deadline_ns = self.clock.now() + MAX_DISCONNECT_READ_NS
+        ready.sort(key=_last_early_turn)
         for index, (connection, events) in enumerate(ready):
             if (
                 isinstance(connection, ClientConnection)
                 and events & selectors.EVENT_READ
                 and connection.is_open()
                 and connection.number in self.reducer.state.requests_by_client
-                and len(connection.pending_messages) < MAX_PENDING_MESSAGES
+                and not connection.has_full_backlog()
             ):
+                connection.last_early_turn = self.transport.next_turn()
                 self._record_unread_time(connection, arrival)
                 self.clients.read(connection)
                 ready[index] = connection, events & ~selectors.EVENT_READ
+                if self.clock.now() > deadline_ns:
+                    return
+
+    def read_servers(self, ready: list[ReadyConnection]) -> None:
+        """Handles the events of servers' connections in turns, for a bounded time.
+
+        The remaining responses stay in their sockets, so that a server that sends without end delays neither
+        clients nor the feed.
+        """
+        deadline_ns = self.clock.now() + MAX_SERVER_READ_NS
+        for connection, events in in_turn(ready):
+            connection.last_turn = self.transport.next_turn()
+            self.handle_ready(connection, events)
+            self._flush_in_long_iteration()
+            if self.clock.now() > deadline_ns:
+                return
 
     def _record_unread_time(self, connection: Connection, arrival: Arrival) -> None:
         """Tells the clients' handler how long the input that is read next has waited in its socket."""
@@ -325,32 +347,35 @@
         self.clients.max_unread_ns = now - min(unread_since_ns, arrival.earliest_ns)
 
     def dispatch_requests(self, ready: list[ReadyConnection], arrival: Arrival) -> None:
-        """Reads and dispatches new requests, for a bounded time.
+        """Reads and dispatches new requests in turns, for a bounded time.
 
         The remaining requests stay in their sockets and queues, so that a router short of CPU still reads
         the feed and forwards responses.
         """
-        deadline_ns = self.last_select_ns + MAX_DISPATCH_NS
-        clients_with_pending: list[ReadyConnection] = [
-            (client, 0) for client in self.clients.clients_with_pending
-        ]
-        for index, (connection, events) in enumerate(clients_with_pending + ready):
+        deadline_ns = max(self.last_select_ns + MAX_DISPATCH_NS, self.clock.now() + MIN_DISPATCH_NS)
+        clients: dict[Connection, int] = dict.fromkeys(self.clients.clients_with_pending, 0)
+        clients.update(ready)
+        for connection, events in clients.items():
             if events and not connection.unread_since_ns:
                 connection.unread_since_ns = arrival.assumed_ns
+        for connection, events in in_turn(clients.items()):
             if self.clock.now() > deadline_ns:
-                for undispatched, undispatched_events in ready[
-                    max(0, index + 1 - len(clients_with_pending)) :
-                ]:
-                    if undispatched_events and not undispatched.unread_since_ns:
-                        undispatched.unread_since_ns = arrival.assumed_ns
                 return
-            if events:
-                self._record_unread_time(connection, arrival)
-                self.handle_ready(connection, events)
-            if isinstance(connection, ClientConnection):
-                self.clients.dispatch_pending(connection)
+            connection.last_turn = self.transport.next_turn()
+            self._read_and_dispatch(connection, events, arrival)
             self._flush_in_long_iteration()
 
+    def _read_and_dispatch(self, connection: Connection, events: int, arrival: Arrival) -> None:
+        """Gives a client its turn: handles its events, and dispatches its pending messages."""
+        if not isinstance(connection, ClientConnection):
+            return
+        if connection.has_full_backlog():
+            events &= ~selectors.EVENT_READ
+        if events:
+            self._record_unread_time(connection, arrival)
+            self.handle_ready(connection, events)
+        self.clients.dispatch_pending(connection)
+
     def _flush_in_long_iteration(self) -> None:
         """In a long iteration, writes queued output and reads disconnects at a fixed interval."""
         now = self.clock.now()
@@ -422,6 +447,11 @@
         self.is_stopping = True
 
 
+def _last_early_turn(ready: ReadyConnection) -> int:
+    connection = ready[0]
+    return connection.last_early_turn if isinstance(connection, ClientConnection) else 0
+
+
 def _has_disconnected(client: ClientConnection) -> bool:
     """Whether a client has closed its side or its connection has failed; discards the bytes it reads."""
     try:
--- a/kelpcroft/net/server_connections.py
+++ b/kelpcroft/net/server_connections.py
@@ -111,7 +111,9 @@
         """Passes the responses that these bytes complete to the reducer; reports a partial response."""
         codec = connection.codec
         connection.last_read_ns = self.transport.clock.now()
-        for response in codec.receive_data(data):
+        responses = codec.receive_data(data)
+        connection.read_pacer.record(len(data), len(responses))
+        for response in responses:
             self.transport.handle_input(response)
         if codec.error:
             self.connection_failed(connection, f"malformed: {codec.error}")
--- a/kelpcroft/net/transport.py
+++ b/kelpcroft/net/transport.py
@@ -21,6 +21,7 @@
 from kelpcroft.net.buffers import BUFFER_BYTES, BufferPool, WriteBuffer
 from kelpcroft.net.clock import Clock
 from kelpcroft.net.errors import ProtocolError
+from kelpcroft.net.fair_turns import ReadPacer
 
 SECOND: Final = 1_000_000_000
 MAX_READS_PER_ITERATION: Final = 2  # buffers read from one connection before other connections are handled
@@ -47,6 +48,8 @@
         self.write_buffer = WriteBuffer(handler.transport.pool)
         self.is_connected = False
         self.interest = NO_EVENTS  # events registered at the selector
+        self.read_pacer = ReadPacer()
+        self.last_turn = handler.transport.next_turn()  # number of its last turn, or of its opening
         self.unread_since_ns = 0  # its unread input arrived after this; 0 = no input is known to wait
         self.last_progress_ns = now  # when stored output last shrank or was found empty
 
@@ -71,12 +74,15 @@
         buffer = self.transport.read_buffer
         try:
             for _ in range(MAX_READS_PER_ITERATION):
-                count = connection.sock.recv_into(buffer)
+                max_bytes = connection.read_pacer.max_bytes
+                count = connection.sock.recv_into(buffer, max_bytes)
                 if not count:
                     self.connection_failed(connection, "")
                     return
                 self.receive(connection, memoryview(buffer)[:count])
-                if (count < BUFFER_BYTES and not self.reads_until_empty()) or not connection.is_open():
+                if connection.read_pacer.is_turn_over or not connection.is_open():
+                    return
+                if count < max_bytes and not self.reads_until_empty():
                     return
         except BlockingIOError:
             pass
@@ -157,6 +163,7 @@
         # Connections for which no connect could be started.
         self.failed_opens: list[inputs.ServerConnectionLost | inputs.WatchFailed] = []
         self.last_number = 0  # last number of a connection or a timer
+        self.last_turn = 0  # last number of a connection's turn
 
     # The reducer ------------------------------------------------------------------------------------------
 
@@ -175,6 +182,11 @@
         self.last_number += 1
         return self.last_number
 
+    def next_turn(self) -> int:
+        """Returns the number of the next turn of a connection; later turns have higher numbers."""
+        self.last_turn += 1
+        return self.last_turn
+
     def write_log_event(self, effect: effects.LogEvent) -> None:
         """Writes a log event of the reducer."""
         self.event_log.write(self.clock.now(), effect)
--- a/tests/core/test_disconnected_clients.py
+++ b/tests/core/test_disconnected_clients.py
@@ -83,12 +83,8 @@
                     if attempt_id == f"{1:016x}"
                     else server_response(attempt_id)
                 )
-        select = harness.selector.select
-
-        def select_client_cache_last(timeout: float | None = None) -> list:  # type: ignore[type-arg]
-            return sorted(select(timeout), key=lambda ready: ready[0].data is client_cache_connection)
-
-        harness.selector.select = select_client_cache_last  # type: ignore[method-assign]
+        # The client's cache had its turn last, so it is read after the other one.
+        client_cache_connection.last_turn = harness.loop.transport.next_turn()
         harness.run_until(lambda: len(other.responses()) == 7, "the other requests have their responses")
         assert peers_read[0] is other_cache_connection
         harness.iterate(SECOND)
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -69,6 +69,7 @@
     "kelpcroft/net/client_codec.py",
     "kelpcroft/net/server_codec.py",
     "kelpcroft/net/buffers.py",
+    "kelpcroft/net/fair_turns.py",
     "kelpcroft/net/transport.py",
     "kelpcroft/net/client_connections.py",
     "kelpcroft/net/lingering_close.py",
