A connection stays open while its client may still read answers, whatever would end it

Cause: a connection was idle once the kernel had taken the bytes of its answers. They wait in buffers that the router cannot see, and the client sees a close only behind them; until then it sends requests, which were read and dropped. The drain, the idle limit, the eviction for a new client and the end of a process all used this test, and the end of a process did not even wait for output stored in it.

A drain waits 3 s at most and the exit until 3.2 s after SIGTERM; what was not written or may be unread then, and input that arrives after a close, is in the log.

--- a/kelpcroft/net/client_acceptor.py
+++ b/kelpcroft/net/client_acceptor.py
@@ -102,8 +102,9 @@
             and not client.unread_since_ns
             and self.clients.is_idle(client)
         ]
+        now = self.transport.clock.now()
         for client in sorted(idle, key=_eviction_order):
-            if not client.has_unread_input():
+            if not client.has_unread_input() and client.read_estimate.has_read_all(now, client.sock):
                 self.clients.close_gracefully(client)
                 return True
         return False
--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -13,6 +13,7 @@
 from kelpcroft.net.fair_turns import FIRST_CLIENT_READ_BYTES, ReadPacer
 from kelpcroft.net.lingering_close import LingeringClients
 from kelpcroft.net.listeners import Listener
+from kelpcroft.net.read_estimate import ReadEstimate
 from kelpcroft.net.transport import (
     NO_EVENTS,
     READABLE,
@@ -40,6 +41,8 @@
 # A connection without open requests is closed after this; most clients close theirs after 4 s.
 IDLE_CLIENT_TIMEOUT_NS: Final = 5 * SECOND
 NEW_CLIENT_GRACE_NS: Final = SECOND  # in a drain, a client that has sent no message is closed after this
+# In a drain, an idle connection with responses that its client may not have read is kept this long at most.
+MAX_DRAIN_WAIT_NS: Final = 3 * SECOND
 WRITE_STALL_TIMEOUT_NS: Final = 10 * SECOND  # a connection that accepts no output for this long is closed
 # Maximum number of log lines about lost clients between two sweeps, as misbehaving clients can appear in
 # hundreds.
@@ -54,6 +57,7 @@
         self.number = number
         self.codec = ClientCodec(number, BUFFER_BYTES)
         self.read_pacer = ReadPacer(FIRST_CLIENT_READ_BYTES)
+        self.read_estimate = ReadEstimate()
         self.last_early_turn = self.last_turn  # number of its last turn among clients with open requests
         self.is_connected = True
         self.has_sent_message = False  # the client has sent at least one complete message
@@ -63,6 +67,7 @@
         self.pending_messages: deque[tuple[int, inputs.ClientRequest | inputs.HealthRequest]] = deque()
         self.is_closing = False  # its input is discarded, and no further response is due
         self.closing_since_ns = 0
+        self.has_misbehaved = False  # its connection was closed for what it sent
         self.discarded_bytes = 0  # bytes of input discarded since ``closing_since_ns``
 
     def cancel_pending(self, request_numbers: frozenset[int]) -> set[int]:
@@ -114,6 +119,7 @@
         # Closes that the reducer has requested, each with its reason.
         self.requested_closes: list[tuple[ClientConnection, str]] = []
         self.is_draining = False  # each connection is closed once no response is due on it
+        self.drain_began_ns = 0
         self.logged_losses = 0  # log lines about lost clients since the last sweep
         self.queued_ns = 0  # how long the input being read counts as having waited in the socket
         self.max_unread_ns = 0  # upper bound of that time
@@ -135,6 +141,8 @@
 
     def drain(self, effect: effects.DrainClients) -> None:
         """Starts or stops a drain, which closes each connection once no response is due on it."""
+        if effect.is_enabled and not self.is_draining:
+            self.drain_began_ns = self.transport.clock.now()
         self.is_draining = effect.is_enabled
         self._close_idle()
 
@@ -207,6 +215,7 @@
 
     def malformed_input(self, connection: ClientConnection, reason: str) -> None:
         """Closes a connection after malformed input; the client can still read the responses already sent."""
+        connection.has_misbehaved = True
         self.close_gracefully(connection, reason)
 
     def interest_of(self, connection: ClientConnection) -> int:
@@ -215,6 +224,10 @@
         readable = NO_EVENTS if stored_bytes > MAX_UNSENT_BYTES_PER_CLIENT else READABLE
         return readable | (WRITABLE if stored_bytes else NO_EVENTS)
 
+    def bytes_written(self, connection: ClientConnection) -> None:
+        """Records what the client has yet to read."""
+        connection.read_estimate.record_sent(self.transport.clock.now(), connection.write_buffer.sent_bytes)
+
     def all_written(self, connection: ClientConnection) -> None:
         """Shuts down the output side of a closing connection; in a drain, closes an idle one."""
         if connection.is_closing:
@@ -248,23 +261,31 @@
         requested = self.requested_closes
         self.requested_closes = []
         for client, reason in requested:
+            client.has_misbehaved = True
             self.close_gracefully(client, reason)
 
     def close_when_idle(self, client: ClientConnection) -> None:
         """In a drain, closes a client's connection once no response is due on it.
 
-        The connection stays open while a message is partly read or input waits unread in the socket.  The
-        client sends a request that crosses the close again, to another router.
+        The connection stays open while a message is partly read or input waits unread in the socket, and for
+        MAX_DRAIN_WAIT_NS at most while the client may not have read all responses.  The client sends a
+        request that crosses the close again, to another router.
         """
         if not self.is_draining or client.is_closing:
             return
         if client.unread_since_ns or client.codec.has_partial_message():
             return
-        age_ns = self.transport.clock.now() - client.last_message_ns
+        now = self.transport.clock.now()
+        age_ns = now - client.last_message_ns
         if not client.has_sent_message and age_ns < NEW_CLIENT_GRACE_NS:
             return  # a new connection, whose first request is probably in flight
-        if self.is_idle(client) and not client.has_unread_input():  # unread input is read first
+        if not self.is_idle(client) or client.has_unread_input():  # unread input is read first
+            return
+        if client.read_estimate.has_read_all(now, client.sock):
             self.close_gracefully(client)
+        elif now - self.drain_began_ns >= MAX_DRAIN_WAIT_NS:
+            unread_bytes = client.read_estimate.unread_bytes(now)
+            self.close_gracefully(client, f"closed in a drain; it may have {unread_bytes} bytes unread")
 
     def _close_idle(self) -> None:
         for client in list(self.open.values()):
@@ -294,6 +315,7 @@
 
     def close(self, connection: ClientConnection) -> None:
         """Closes the socket of an open or closing connection immediately."""
+        self.log_discarded(connection)
         self.transport.close(connection)
         self.clients_with_pending.pop(connection, None)
         connection.pending_messages.clear()
@@ -302,8 +324,30 @@
         if len(self.open) < self.max_open:
             self.listener.set_registered(True)
 
+    def log_discarded(self, client: ClientConnection) -> None:
+        """Logs the input that arrived on a connection after its close; none of it is answered."""
+        if client.discarded_bytes and client.closing_since_ns and not client.has_misbehaved:
+            self._log_loss(
+                client, f"{client.discarded_bytes} bytes arrived after the close and were discarded"
+            )
+
+    def log_unwritten(self, client: ClientConnection) -> None:
+        """Logs the output that the client did not accept in time."""
+        stored_bytes = client.write_buffer.stored_bytes()
+        if stored_bytes:
+            self._log_loss(client, f"{stored_bytes} bytes of its responses were not written in time")
+
     # Sweep ------------------------------------------------------------------------------------------------
 
+    def has_unread_responses(self, now: int) -> bool:
+        """Whether a client has unsent output, or may not have read all that was sent."""
+        return any(
+            client.write_buffer.stored_bytes()
+            or client in self.transport.pending_writes
+            or not client.read_estimate.has_read_all(now, client.sock)
+            for client in self.open.values()
+        )
+
     def is_idle(self, client: ClientConnection) -> bool:
         """Whether a client has no open or pending request and no unsent output."""
         if client.write_buffer.stored_bytes() or client in self.transport.pending_writes:
@@ -325,7 +369,11 @@
             if client.write_buffer.stored_bytes() and now - client.last_progress_ns > WRITE_STALL_TIMEOUT_NS:
                 self.connection_failed(client, "accepts no more output")
             elif not client.unread_since_ns:
-                is_idle = now - client.last_message_ns > IDLE_CLIENT_TIMEOUT_NS and self.is_idle(client)
+                is_idle = (
+                    now - client.last_message_ns > IDLE_CLIENT_TIMEOUT_NS
+                    and self.is_idle(client)
+                    and client.read_estimate.has_read_all(now, client.sock)
+                )
                 if (client.is_silent(now) or is_idle) and not client.has_unread_input():
                     self.close_gracefully(client)
 
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -52,6 +52,9 @@
 # A select that returns later than this has waited: nothing was ready when it began.
 MIN_SELECT_WAIT_NS: Final = SECOND // 1_000
 MAX_SHUTDOWN_DELAY_NS: Final = SECOND  # unread requests delay the exit by at most this long
+# Responses that clients may not have read delay the exit by at most this long, so that it precedes the
+# SIGKILL that the platform sends 3.7 s after SIGTERM.
+MAX_RESPONSE_DELAY_NS: Final = 2_400_000_000
 # Interval at which a delayed exit is retried.
 SHUTDOWN_RETRY_INTERVAL_NS: Final = MAX_SHUTDOWN_DELAY_NS // 100
 SHUTDOWN_LINGER_NS: Final = SECOND // 5  # time at the exit in which clients can read the last responses
@@ -100,6 +103,8 @@
         self.last_flush_ns = 0  # when this iteration last read disconnects
         # Latest time to which unread requests delay the exit; 0 = they have not delayed it yet.
         self.shutdown_delay_limit_ns = 0
+        # Latest time to which unread responses delay the exit; 0 = the last step has not been due yet.
+        self.response_delay_limit_ns = 0
         self.last_sweep_ns = 0
         self.last_select_ns = clock.now()
 
@@ -206,6 +211,7 @@
         for client in self.clients.open.values():
             try:
                 client.write_buffer.write(client.sock)
+                self.clients.log_unwritten(client)
                 client.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 pass
@@ -415,11 +421,11 @@
         heapq.heappush(self.timers, (effect.at_ns, self.transport.next_number(), effect.key))
 
     def _fire_timers(self, now: int) -> None:
-        """Delivers the timers that are due; unread requests delay the last step of the shutdown."""
+        """Delivers the timers that are due; unread requests and responses delay the last shutdown step."""
         while self.timers and self.timers[0][0] <= now and not self.is_stopping:
             key = heapq.heappop(self.timers)[2]
             is_last_step = key[0] is messages.TimerKind.SHUTDOWN and key[1] == SHUTDOWN_LAST_STEP
-            if is_last_step and self._has_unread_requests(now):
+            if is_last_step and (self._has_unread_requests(now) or self._has_unread_responses(now)):
                 self.schedule_timer(effects.ScheduleTimer(now + SHUTDOWN_RETRY_INTERVAL_NS, key))
             else:
                 self.transport.handle_input(inputs.TimerFired(key))
@@ -441,6 +447,12 @@
             client.has_unread_input() for client in self.clients.open.values()
         )
 
+    def _has_unread_responses(self, now: int) -> bool:
+        """Whether the exit waits for clients that may not have read all their responses."""
+        if not self.response_delay_limit_ns:
+            self.response_delay_limit_ns = now + MAX_RESPONSE_DELAY_NS
+        return now < self.response_delay_limit_ns and self.clients.has_unread_responses(now)
+
     def _exit(self, _effect: effects.Exit) -> None:
         """Writes all queued output; ``run`` ends after this iteration."""
         self.flush()
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -66,6 +66,7 @@
     "kelpcroft/core/timers.py",
     "kelpcroft/core/clients.py",
     "kelpcroft/core/reducer.py",
+    "kelpcroft/net/read_estimate.py",
     "kelpcroft/net/client_codec.py",
     "kelpcroft/net/server_codec.py",
     "kelpcroft/net/buffers.py",
