One check of a configuration file; a successor that refuses it uses the last accepted

Cause: a start checked its file less strictly than a reload and replaced a missing effect by the least strict one, and a successor did not know what its predecessor had accepted.

Change: check_file is the only check, at a start, a reload and an upgrade. A process on a shared listening socket stores the configuration that it accepted last and the keys that a file must have. A successor that refuses its file logs config.refused and uses the stored one, and stores it again.

Why it works: a file in force has passed the same check whichever process reads it, and what is stored is always a file in force; a second upgrade finds it like the first.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -39,7 +39,7 @@
     """
     signal_pipe = _open_signal_pipe()
     try:
-        config = load_config(os.environ)
+        config = load_config(os.environ, predecessor_files.read_accepted_config)
     except ConfigError as error:
         return _bad_configuration(f"configuration: {error}")
     try:
--- a/kelpcroft/config.py
+++ b/kelpcroft/config.py
@@ -4,16 +4,15 @@
 
 import resource
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-import orjson
-
+from kelpcroft.config_reload import check_file, decode_config
 from kelpcroft.core.descriptors import MIN_DESCRIPTORS
-from kelpcroft.core.inputs import ConfigFileRead, WatchResponse
+from kelpcroft.core.inputs import AcceptedConfig, ConfigFileRead, WatchResponse
 from kelpcroft.decision.interface import Settings, SettingsError
-from kelpcroft.deployment_check import Diagnostic, check_configuration
+from kelpcroft.deployment_check import Diagnostic
 from kelpcroft.deployment_check.known_keys import parse_host_port
 from kelpcroft.diagnostics import Severity
 from kelpcroft.net.feed_codec import FeedError, parse_watch_response
@@ -34,6 +33,28 @@
     """A value cannot be used; the message names its key."""
 
 
+class RefusedFileError(ConfigError):
+    """A configuration file cannot be used; the message has a line for each error."""
+
+    def __init__(self, path: str, diagnostics: list[Diagnostic]) -> None:
+        super().__init__("\nconfiguration: ".join(str(diagnostic) for diagnostic in diagnostics))
+        self.path = path
+        self.diagnostics = tuple(diagnostics)
+
+
+# Returns the configuration that the predecessor of a router accepted last: folder ($TMPDIR) and name of the
+# router; None if no predecessor runs.
+ReadAcceptedConfig = Callable[[str, str], AcceptedConfig | None]
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedFile:
+    """The configuration file of a start that was not used, because the predecessor's was used instead."""
+
+    path: str
+    diagnostics: tuple[Diagnostic, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration that a router starts with.
@@ -56,6 +77,8 @@
             (ROUTER_FD).
         state_dir: Folder in which a process stores its service state for its successor ($TMPDIR).
         raw: The JSON of the file.
+        required: The JSON whose keys a file that is read again must have.
+        refused: The file that was not used; ``raw`` is then what the predecessor accepted last.
         warnings: Diagnostics of the file that do not prevent the start.
     """
 
@@ -75,7 +98,9 @@
     inherited_listener_fd: int | None = None
     state_dir: str = ""
     raw: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)
+    required: dict[str, Any] = field(default_factory=dict, compare=False, repr=False)
     warnings: tuple[Diagnostic, ...] = ()
+    refused: RefusedFile | None = None
 
 
 def parse_address(key: str, text: Any) -> Address:
@@ -117,30 +142,69 @@
     return value
 
 
-def load_config(environ: Mapping[str, str]) -> Config:
+def load_config(environ: Mapping[str, str], read_accepted: ReadAcceptedConfig | None = None) -> Config:
     """Read the environment and the file that it names.
 
+    In an upgrade, a file is refused as its predecessor would refuse it at a reload; the configuration that
+    the predecessor accepted last is used instead.
+
+    Args:
+        environ: The environment.
+        read_accepted: Reads what the predecessor accepted last; None = there is no predecessor.
+
     Raises:
-        ConfigError: The file cannot be used; the message has a line for each error.
+        ConfigError: The file cannot be used, and there is no predecessor; the message has a line for each
+            error.
     """
-    path = environ.get("ROUTER_CONFIG", "")
-    if not path:
+    read = reread_config(environ)
+    if not read.path:
         raise ConfigError("ROUTER_CONFIG: is not set")
+    accepted = find_accepted_config(read, environ, read_accepted)
     try:
-        with open(path, "rb") as file:
-            raw = orjson.loads(file.read())
-    except OSError as error:
-        raise ConfigError(f"ROUTER_CONFIG: {path}: {error.strerror}") from error
-    except orjson.JSONDecodeError as error:
-        raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from error
-    diagnostics = check_configuration(require_object("ROUTER_CONFIG", raw))
-    faults = [f"{diagnostic}" for diagnostic in diagnostics if diagnostic.level == "fault"]
-    if faults:
-        raise ConfigError("\nconfiguration: ".join(faults))
-    config = replace(parse_config(raw, environ), warnings=tuple(diagnostics))
+        config = config_of_file(read, environ, accepted)
+    except RefusedFileError as error:
+        if accepted is None:
+            raise
+        refused = RefusedFile(error.path, error.diagnostics)
+        config = parse_config(accepted.config, environ)
+        config = replace(config, required=accepted.required, refused=refused)
     return limit_to_system_descriptors(config, system_descriptors())
 
 
+def find_accepted_config(
+    read: ConfigFileRead, environ: Mapping[str, str], read_accepted: ReadAcceptedConfig | None
+) -> AcceptedConfig | None:
+    """Return what the predecessor accepted last; None without a shared listening socket or a predecessor."""
+    folder = environ.get("TMPDIR", "")
+    if read_accepted is None or not folder or not environ.get("ROUTER_FD"):
+        return None
+    raw = decode_config(read.data or b"")[0] or {}
+    name = environ.get("ROUTER_NAME") or raw.get("name")
+    return read_accepted(folder, name) if isinstance(name, str) and name else None
+
+
+def config_of_file(
+    read: ConfigFileRead, environ: Mapping[str, str], accepted: AcceptedConfig | None
+) -> Config:
+    """Check and parse a file.
+
+    Raises:
+        RefusedFileError: The file cannot be used.
+    """
+    if read.data is None:
+        raise RefusedFileError(read.path, [Diagnostic("ROUTER_CONFIG", read.reason, "must be readable")])
+    raw, diagnostics = check_file(read.data, accepted.required if accepted else None)
+    if raw is None:
+        raise RefusedFileError(read.path, diagnostics)
+    try:
+        return replace(parse_config(raw, environ), warnings=tuple(diagnostics))
+    except ConfigError as error:
+        place, _, found = str(error).partition(": ")
+        raise RefusedFileError(
+            read.path, [Diagnostic(place, found, "must be a value that the router can use")]
+        ) from error
+
+
 def system_descriptors() -> int:
     """Return the number of file descriptors that the system allows this process."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -218,6 +282,7 @@
         initial_endpoints=initial_endpoints,
         is_tracing=environ.get("ROUTER_TRACE") == "1",
         raw=raw,
+        required=raw,
         control_address=parse_control_address(raw, environ),
         inherited_listener_fd=inherited_listener_fd,
         state_dir=environ.get("TMPDIR", ""),
--- a/kelpcroft/config_reload/__init__.py
+++ b/kelpcroft/config_reload/__init__.py
@@ -5,7 +5,7 @@
 applies the check and the change, which takes effect in two steps, to the state.  Start reading at ``check``.
 """
 
-from kelpcroft.config_reload.check import decode_config, validate_reload
+from kelpcroft.config_reload.check import check_file, decode_config, validate_config
 from kelpcroft.config_reload.plan import (
     TRANSITION_NS,
     ConfigChange,
@@ -19,9 +19,10 @@
     "TRANSITION_NS",
     "ConfigChange",
     "Diagnostic",
+    "check_file",
     "decode_config",
     "diff_settings",
     "final_settings",
     "transition_settings",
-    "validate_reload",
+    "validate_config",
 ]
--- a/kelpcroft/config_reload/check.py
+++ b/kelpcroft/config_reload/check.py
@@ -1,21 +1,20 @@
-"""Check of a reloaded configuration, which is applied completely or not at all.
+"""Check of a configuration file, which is applied completely or not at all.
 
-A file read at SIGHUP is rejected for each of the following errors.  One pass reports all of them, each with
-its place:
+``check_file`` is the only check of a file, at a start, at a reload (SIGHUP) and in an upgrade.  A file is
+rejected for each error of ``kelpcroft.deployment_check`` and for each of the following ones.  One pass
+reports all of them, each with its place:
 
 - the file is empty or is not complete JSON (the place is the line and column where decoding stopped);
 - a key of the file of the start is missing, at the top level or anywhere in ``settings`` (in the list of
   classes: a key that every class of that file has); the contents of ``known`` are not checked, as only a
   start reads them.  Keys that only a later file has are not required, so that the file of the start can
-  always be restored;
+  always be restored.  In an upgrade, the file of the start is the predecessor's; at any other start no key
+  is required;
 - a class's ``give_up_ns`` is not a positive number of nanoseconds, or ``limits.most_tries`` is not a positive
   whole number of attempts;
 - a class has no name, has the name of another class, or has an idempotency that is not ``safe``, ``keyed`` or
   ``unsafe``; or the file has no class;
 - ``feed`` is not an address as host:port.
-
-A start checks its file less strictly (``kelpcroft.config.parse_config``), so that every file with which the
-router started before still works.  This check is for a file that replaces another one.
 """
 
 from __future__ import annotations
@@ -25,8 +24,9 @@
 
 import orjson
 
+from kelpcroft.deployment_check import check_configuration
 from kelpcroft.deployment_check.known_keys import parse_host_port
-from kelpcroft.diagnostics import Diagnostic
+from kelpcroft.diagnostics import Diagnostic, Severity
 
 MAX_DIAGNOSTICS = 100  # reported for one file; further ones are dropped and not counted
 MAX_SHOWN_CHARACTERS = 60  # length of an unusable value in a message
@@ -47,18 +47,42 @@
     return raw, []
 
 
-def validate_reload(new: dict[str, Any], start: dict[str, Any]) -> list[Diagnostic]:
-    """Return the diagnostics of a file that was read again; none where it may be used.
+def check_file(
+    data: bytes, required: dict[str, Any] | None
+) -> tuple[dict[str, Any] | None, list[Diagnostic]]:
+    """Decode and check a configuration file.
+
+    Args:
+        data: The file.
+        required: The file with which the router started, whose keys are required; None = no key is.
+
+    Returns:
+        The file's JSON and its warnings; None and its errors if it has an error.
+    """
+    raw, diagnostics = decode_config(data)
+    if raw is None:
+        return None, diagnostics
+    errors = validate_config(raw, required)
+    places = {error.place for error in errors}
+    others = [other for other in check_configuration(raw) if other.place not in places]
+    errors += [other for other in others if other.level is Severity.ERROR]
+    if errors:
+        return None, errors[:MAX_DIAGNOSTICS]
+    return raw, others
+
+
+def validate_config(new: dict[str, Any], required: dict[str, Any] | None) -> list[Diagnostic]:
+    """Return the errors of this module's rules in a file.
 
     Args:
         new: The file.
-        start: The file with which the router started, whose keys are required.
+        required: The file with which the router started, whose keys are required; None = no key is.
     """
-    return ReloadCheck().run(new, start)
+    return ConfigCheck().run(new, required or {})
 
 
-class ReloadCheck:
-    """One pass over a file that was read again."""
+class ConfigCheck:
+    """One pass over a configuration file."""
 
     def __init__(self) -> None:
         self._diagnostics: list[Diagnostic] = []
--- a/kelpcroft/core/config_reload.py
+++ b/kelpcroft/core/config_reload.py
@@ -15,9 +15,9 @@
 
 from kelpcroft import config_reload
 from kelpcroft.config import Address, ConfigError, parse_address
-from kelpcroft.core.effects import PersistReplacedSettings
+from kelpcroft.core.effects import PersistAcceptedConfig, PersistReplacedSettings
 from kelpcroft.core.feed_watch import FeedWatch
-from kelpcroft.core.inputs import ConfigFileRead, PredecessorSettings, ReplacedSettings
+from kelpcroft.core.inputs import AcceptedConfig, ConfigFileRead, PredecessorSettings, ReplacedSettings
 from kelpcroft.core.messages import TimerKind
 from kelpcroft.core.state import SECOND, State
 from kelpcroft.decision import interface as api
@@ -51,6 +51,24 @@
         self.replaced: list[ReplacedSettings] = []
         self.transition_number = 0  # number of transitions begun: only the timer of the last one is valid
 
+    def start(self) -> None:
+        """Log that the file of the start was refused, if it was, and store the configuration in use."""
+        refused = self.state.config.refused
+        if refused is not None:
+            self.log_not_applied(refused.path, list(refused.diagnostics))
+        self.persist_accepted()
+
+    def persist_accepted(self) -> None:
+        """Store the configuration in use for a successor process, which may find another file."""
+        if self.may_have_successor():
+            accepted = AcceptedConfig(self.state.raw_config, self.state.config.required)
+            self.state.effects.append(PersistAcceptedConfig(accepted))
+
+    def may_have_successor(self) -> bool:
+        """Whether a successor process may start beside this one and read what it stores."""
+        config = self.state.config
+        return config.inherited_listener_fd is not None and bool(config.state_dir)
+
     def on_file_read(self, read: ConfigFileRead) -> None:
         """Apply a configuration file that was read again; if it has an error, no part of it is applied."""
         checked, diagnostics = self.check(read)
@@ -63,11 +81,8 @@
         """Decode and check a file; returns None and its diagnostics if it has errors."""
         if read.data is None:
             return None, [config_reload.Diagnostic("", read.reason, "must be a readable file")]
-        raw, diagnostics = config_reload.decode_config(read.data)
-        if raw is None or diagnostics:
-            return None, diagnostics
-        diagnostics = config_reload.validate_reload(raw, self.state.config.raw)
-        if diagnostics:
+        raw, diagnostics = config_reload.check_file(read.data, self.state.config.required)
+        if raw is None:
             return None, diagnostics
         try:
             settings = parse_settings(raw["settings"], self.state.settings.seed)
@@ -102,6 +117,7 @@
         deferred = deferred_keys(checked.raw["settings"], state.raw_config.get("settings", {}))
         replaced_settings = state.raw_config.get("settings", {})
         state.raw_config = checked.raw
+        self.persist_accepted()
         feed_text = self.watch.move_feed(checked.feed_address)
         change = config_reload.diff_settings(self.settings_of_last_file(), checked.settings)
         if change or self.replaces_pending(checked.settings):
@@ -150,7 +166,7 @@
     def record_replaced(self, settings: dict[str, Any]) -> None:
         """Keep settings that a file replaces now, for a successor process that may start meanwhile."""
         state = self.state
-        if state.config.inherited_listener_fd is None or not state.config.state_dir:
+        if not self.may_have_successor():
             return
         recent = [r for r in self.replaced if self.is_recent(r)]
         self.replaced = [*recent, ReplacedSettings(settings, state.now)][-MAX_REPLACED_SETTINGS:]
--- a/kelpcroft/core/effects.py
+++ b/kelpcroft/core/effects.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from kelpcroft.core.inputs import FeedRecord, ReplacedSettings
+from kelpcroft.core.inputs import AcceptedConfig, FeedRecord, ReplacedSettings
 from kelpcroft.core.messages import Body, TimerKey, message
 
 # To clients -----------------------------------------------------------------------------------------------
@@ -252,6 +252,13 @@
     replaced: tuple[ReplacedSettings, ...]
 
 
+@message
+class PersistAcceptedConfig:
+    """Store the configuration that this process accepted last, for the router's successor process."""
+
+    accepted: AcceptedConfig
+
+
 @message
 class SetStateEndpoint:
     """Start or stop serving the state on the control address; the first start delivers ProcessIdentity."""
@@ -287,6 +294,7 @@
     | TouchFeedRecord
     | ReadPredecessorFeed
     | PersistReplacedSettings
+    | PersistAcceptedConfig
     | SetStateEndpoint
     | DrainClients
     | Exit
--- a/kelpcroft/core/inputs.py
+++ b/kelpcroft/core/inputs.py
@@ -295,6 +295,19 @@
     ended_at_ns: int = 0
 
 
+@message
+class AcceptedConfig:
+    """The configuration that a process accepted last, at its start or at a reload.
+
+    Attributes:
+        config: The configuration, as JSON.
+        required: The configuration whose keys a later file must have.
+    """
+
+    config: dict[str, Any]
+    required: dict[str, Any]
+
+
 @message
 class ReplacedSettings:
     """Settings of a configuration file that a later file replaced while the router ran.
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -167,6 +167,7 @@
         self.watch.start(options, crash_loop_delay_ns, replicas)
         log_deployment(self.state)
         self.housekeeping.start()
+        self.config_reload.start()
         self.decisions.run()
         return self.state.effects
 
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -135,6 +135,7 @@
             effects.TouchFeedRecord: self.predecessor.touch_feed_record,
             effects.ReadPredecessorFeed: self.predecessor.read_predecessor_feed,
             effects.PersistReplacedSettings: self.predecessor.persist_replaced_settings,
+            effects.PersistAcceptedConfig: self.predecessor.persist_accepted_config,
             effects.LogEvent: self.transport.write_log_event,
             effects.Exit: self._exit,
         }
--- a/kelpcroft/net/predecessor_files.py
+++ b/kelpcroft/net/predecessor_files.py
@@ -2,9 +2,11 @@
 
 They are the service state (format: ``kelpcroft.store.handover``), the feed record (format:
 ``kelpcroft.net.feed_record_codec``), the settings that were replaced last (format:
-``kelpcroft.net.replaced_settings_codec``) and the times of earlier starts (format:
+``kelpcroft.net.replaced_settings_codec``), the configuration that was accepted last (format:
+``kelpcroft.net.accepted_config_codec``) and the times of earlier starts (format:
 ``kelpcroft.startup.crash_loop_backoff``).  Each file is written under a temporary name, then renamed.  The
-time of the feed record's last modification tells whether its process still runs.
+time of the last modification of the feed record and of the accepted configuration tells whether the process
+still runs.
 """
 
 from __future__ import annotations
@@ -16,7 +18,7 @@
 
 from kelpcroft.config import Config
 from kelpcroft.core import effects, inputs
-from kelpcroft.net import replaced_settings_codec
+from kelpcroft.net import accepted_config_codec, replaced_settings_codec
 from kelpcroft.net.feed_record_codec import (
     MAX_RECORD_BYTES,
     RecordTooLargeError,
@@ -29,6 +31,9 @@
 
 FEED_SUFFIX = "-feed.json"  # ending of the path of the feed record
 SETTINGS_SUFFIX = "-settings.json"  # ending of the path of the replaced settings
+CONFIG_SUFFIX = "-config.json"  # ending of the path of the accepted configuration
+# An accepted configuration that was not touched for so long is that of a process that no longer runs.
+MAX_CONFIG_AGE_NS = 10_000_000_000
 
 
 @dataclass(frozen=True)
@@ -79,11 +84,12 @@
             self.log_unwritten("feed record", error)
 
     def touch_feed_record(self, _effect: effects.TouchFeedRecord) -> None:
-        """Sets the time of the feed record's last modification to now, if there is a record."""
+        """Sets the last modification of the files that tell that this process runs to now, if they exist."""
         config = self.transport.config
         now_ns = self.transport.clock.now()
-        with contextlib.suppress(OSError):
-            os.utime(_path(config.state_dir, config.name, FEED_SUFFIX), ns=(now_ns, now_ns))
+        for suffix in (FEED_SUFFIX, CONFIG_SUFFIX):
+            with contextlib.suppress(OSError):
+                os.utime(_path(config.state_dir, config.name, suffix), ns=(now_ns, now_ns))
 
     def read_predecessor_feed(self, _effect: effects.ReadPredecessorFeed) -> None:
         """Reports the predecessor's feed record to the reducer, if there is one."""
@@ -101,6 +107,15 @@
         except (OSError, replaced_settings_codec.SettingsTooLargeError) as error:
             self.log_unwritten("replaced settings", error)
 
+    def persist_accepted_config(self, effect: effects.PersistAcceptedConfig) -> None:
+        """Writes the configuration that was accepted last for this process's successor."""
+        config = self.transport.config
+        try:
+            data = accepted_config_codec.encode_accepted_config(config.name, os.getpid(), effect.accepted)
+            _replace_file(_path(config.state_dir, config.name, CONFIG_SUFFIX), data)
+        except (OSError, accepted_config_codec.ConfigTooLargeError) as error:
+            self.log_unwritten("accepted configuration", error)
+
     def log_unwritten(self, what: str, error: Exception) -> None:
         """Logs that a file could not be written."""
         self.transport.log(
@@ -174,6 +189,18 @@
     return inputs.PredecessorSettings(replaced)
 
 
+def read_accepted_config(folder: str, name: str) -> inputs.AcceptedConfig | None:
+    """Reads the configuration that a predecessor accepted last; None if none runs or its file is unusable."""
+    path = _path(folder, name, CONFIG_SUFFIX)
+    try:
+        if time.time_ns() - os.stat(path).st_mtime_ns > MAX_CONFIG_AGE_NS:
+            return None
+        data = _read_file(path, accepted_config_codec.MAX_FILE_BYTES)
+        return accepted_config_codec.decode_accepted_config(data, name)
+    except (OSError, handover.UnusableFileError):
+        return None
+
+
 def write_handover(folder: str, name: str, now_ns: int, state: effects.PersistServiceState) -> None:
     """Writes the service state.
 
--- a/tests/config_reload/test_reload.py
+++ b/tests/config_reload/test_reload.py
@@ -17,7 +17,7 @@
     diff_settings,
     final_settings,
     transition_settings,
-    validate_reload,
+    validate_config,
 )
 from kelpcroft.core import effects, inputs
 from kelpcroft.core.reducer import Reducer
@@ -39,7 +39,7 @@
 
 
 def places(raw: dict[str, Any]) -> list[str]:
-    return [diagnostic.place for diagnostic in validate_reload(raw, EXAMPLE)]
+    return [diagnostic.place for diagnostic in validate_config(raw, EXAMPLE)]
 
 
 def reload(r: Reducer, now: int, raw: dict[str, Any] | bytes) -> list[effects.Effect]:
@@ -57,7 +57,7 @@
 
 class Check(unittest.TestCase):
     def test_the_file_in_use_passes(self) -> None:
-        assert validate_reload(EXAMPLE, EXAMPLE) == []
+        assert validate_config(EXAMPLE, EXAMPLE) == []
 
     def test_each_kind_of_error_is_reported_at_its_place(self) -> None:
         classes = "settings.classes"
--- a/tests/program/test_upgrade_settings.py
+++ b/tests/program/test_upgrade_settings.py
@@ -66,3 +66,51 @@
             raise AssertionError(f"no upgrade within {TRANSITION_NS} ns of a reload in {TRIES} tries")
         wait_for(lambda: count_of(router, "config.settled") > 0, "the end of the transition")
         assert len(times_of_sends(deployment)) > 1
+
+
+def write_file(router: RouterProcess, idempotency: str | None) -> None:
+    """Write a file with another effect of orders; None leaves the key out, for which the file is refused."""
+    raw = json.loads(router.config_path.read_bytes())
+    orders = raw["settings"]["classes"][1]
+    orders.pop("idempotency", None)
+    if idempotency is not None:
+        orders["idempotency"] = idempotency
+    router.config_path.write_text(json.dumps(raw))
+
+
+def upgraded(deployment: Upgrade, router: RouterProcess) -> RouterProcess:
+    """Start a successor, end its predecessor, and return the successor."""
+    successor = deployment.start(router)
+    wait_for(lambda: is_ready(successor), "the successor")
+    router.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: router.process.poll() is not None, "the end of the predecessor")
+    return successor
+
+
+def test_a_file_that_was_refused_is_refused_by_successors_too() -> None:
+    """A start checked its file less strictly than a reload: orders that may have run were sent again."""
+    with upgrade(answer_orders_with_errors) as deployment:
+        write_file(deployment.first, None)
+        deployment.first.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: count_of(deployment.first, "config.refused") == 1, "the refusal at the reload")
+        second = upgraded(deployment, deployment.first)
+        assert count_of(second, "config.refused") == 1
+        assert len(times_of_sends(deployment)) == 1
+        third = upgraded(deployment, second)
+        assert count_of(third, "config.refused") == 1
+        assert len(times_of_sends(deployment)) == 1
+        write_file(third, "safe")
+        fourth = upgraded(deployment, third)
+        assert count_of(fourth, "config.refused") == 0
+        assert len(times_of_sends(deployment)) > 1
+
+
+def test_a_successor_uses_what_a_reload_accepted_before_a_file_was_refused() -> None:
+    """The last file that was accepted is in force, not that of the start."""
+    with upgrade(answer_orders_with_errors) as deployment:
+        read_again(deployment.first, "safe")
+        write_file(deployment.first, None)
+        successor = upgraded(deployment, deployment.first)
+        wait_for(lambda: count_of(successor, "config.refused") == 1, "the refusal at the start")
+        time.sleep(TRANSITION_NS / 1e9)
+        assert len(times_of_sends(deployment)) > 1
