An unfinished message of a client takes its bytes, not its values, in memory

Cause: the decoder creates a message's values as its bytes arrive and holds them until it is complete; 60 KB of empty arrays are 4 MB, 1 KB of nested array heads 3 MB. A limit of bytes bounds neither.

Why it works: what an incomplete message holds is its bytes and the scanner's buffer, both bounded.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -61,7 +61,7 @@
             assert not diagnostics, diagnostics[0]
             self.router.handle(self.now, inputs.OperatorFileRead(file))
         self.request_count = 0
-        self.client = ClientCodec(1, READ)
+        self.client = ClientCodec(1)
         self.server_codecs: dict[int, ServerCodec] = {}
 
     def request(self) -> int:
--- a/kelpcroft/net/client_codec.py
+++ b/kelpcroft/net/client_codec.py
@@ -9,7 +9,7 @@
 
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -21,7 +21,8 @@
 
 NS_PER_MS: Final = 1_000_000
 
-# Size of one message.  Nested lists decoded from a message take some sixty times as much memory.
+# Size of one message.  Its decoded values may take some sixty times as much memory, so only complete messages
+# are decoded, one at a time.
 MAX_MESSAGE_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 48_000  # size of a request's body
 MAX_FIELDS: Final = 64  # number of fields in a request
@@ -36,7 +37,7 @@
 MAX_COUNT_DIGITS: Final = 12  # length of a numeric field
 MAX_SIZE_CHARS: Final = 32  # length of the field with a part's size; a longer one is ignored
 IDENTIFIER_CHARS: Final = 16  # length of the ids of objects, traces and copies: 64 bits as hex digits
-UNPACKER_BUFFER_BYTES: Final = 4_096  # initial size of the unpacker's buffer
+SCAN_BYTES: Final = 4_096  # initial size of the scanner's buffer, and how many bytes it is given at once
 
 # Visible ASCII except comma and equals sign, which separate the fields of a server's command.
 IDEMPOTENCY_KEY = re.compile(rf"[!-+\--<>-~]{{1,{MAX_IDEMPOTENCY_KEY_CHARS}}}")
@@ -79,30 +80,24 @@
 
 
 class ClientCodec:
-    """Decodes the messages of one client connection."""
+    """Decodes the messages of one client connection.
 
-    def __init__(self, client: int, read_size: int) -> None:
+    A scanner finds the end of each message without creating its values: the values of an incomplete message
+    may take far more memory than its bytes, for each of hundreds of connections.
+    """
+
+    def __init__(self, client: int) -> None:
         """Creates the codec of a new connection.
 
         Args:
             client: number of the connection, which each message contains.
-            read_size: the most bytes that one call of ``receive_data`` is given.
         """
         self.client = client
         self.queued_ns = 0  # how long the bytes being decoded may have waited before they were read
         self.received_bytes = 0
         self.decoded_bytes = 0  # how many of the received bytes belong to complete messages
-        self.unpacker = msgpack.Unpacker(
-            raw=False,
-            read_size=UNPACKER_BUFFER_BYTES,
-            max_buffer_size=MAX_MESSAGE_BYTES + read_size,
-            max_str_len=MAX_FIELD_BYTES,
-            max_bin_len=MAX_BODY_BYTES,
-            max_array_len=MAX_REQUESTS_PER_CANCEL,
-            max_map_len=MAX_FIELDS,
-            max_ext_len=0,
-            object_pairs_hook=Fields,
-        )
+        self.partial = bytearray()  # the bytes of the incomplete message
+        self.scanner = _new_scanner()
 
     def receive_data(self, data: memoryview, queued_ns: int = 0) -> list[ClientMessage]:
         """Decodes bytes and returns the messages that they complete.
@@ -119,23 +114,19 @@
         self.queued_ns = queued_ns
         self.received_bytes += len(data)
         try:
-            self.unpacker.feed(data)
-            messages = self._decode_messages()
+            messages = self._decode_messages(data)
         except ClientProtocolError:
             raise
         except Exception as error:  # msgpack raises many types of exception, all of them for malformed bytes
             raise ClientProtocolError(f"{type(error).__name__}: {error}") from error
-        if self.received_bytes - self.decoded_bytes > MAX_MESSAGE_BYTES:
-            raise ClientProtocolError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
         return messages
 
-    def _decode_messages(self) -> list[ClientMessage]:
+    def _decode_messages(self, data: memoryview) -> list[ClientMessage]:
         """Returns all complete messages; together they may open ``MAX_REQUESTS_PER_READ`` requests."""
         messages: list[ClientMessage] = []
         open_requests: set[int] = set()  # requests in these bytes, none of which has a response yet
-        for raw in self.unpacker:
-            self.decoded_bytes = self.unpacker.tell()
-            message = self._convert_message(raw)
+        for message_bytes in self._split_messages(data):
+            message = self._convert_message(_decode(message_bytes))
             messages.append(message)
             if isinstance(message, CancelMessage):
                 open_requests -= message.request_numbers
@@ -145,6 +136,33 @@
                 raise ClientProtocolError(f"more than {MAX_REQUESTS_PER_READ} requests at once")
         return messages
 
+    def _split_messages(self, data: memoryview) -> Iterator[bytes]:
+        """Yields the bytes of each complete message.
+
+        Raises:
+            ClientProtocolError: A message is too large.
+        """
+        for start in range(0, len(data), SCAN_BYTES):
+            piece = data[start : start + SCAN_BYTES]
+            self.scanner.feed(piece)
+            self.partial += piece
+            while self.partial and self._skip_message():
+                size = self.scanner.tell() - self.decoded_bytes
+                message_bytes = bytes(memoryview(self.partial)[:size])
+                del self.partial[:size]
+                self.decoded_bytes += size
+                yield message_bytes
+            if len(self.partial) > MAX_MESSAGE_BYTES:
+                raise ClientProtocolError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
+
+    def _skip_message(self) -> bool:
+        """Moves the scanner behind the next message; returns False if it is incomplete."""
+        try:
+            self.scanner.skip()
+        except msgpack.OutOfData:
+            return False
+        return True
+
     def has_partial_message(self) -> bool:
         """Whether an incomplete message has been received."""
         return self.received_bytes > self.decoded_bytes
@@ -203,6 +221,25 @@
         )
 
 
+def _new_scanner() -> msgpack.Unpacker:
+    """Returns a scanner for the messages of one connection; its buffer holds one string at least."""
+    return msgpack.Unpacker(read_size=SCAN_BYTES, max_buffer_size=MAX_MESSAGE_BYTES + 2 * SCAN_BYTES)
+
+
+def _decode(message_bytes: bytes) -> Any:
+    """Decodes one complete message; raises one of many exceptions if it is malformed."""
+    return msgpack.unpackb(
+        message_bytes,
+        raw=False,
+        max_str_len=MAX_FIELD_BYTES,
+        max_bin_len=MAX_BODY_BYTES,
+        max_array_len=MAX_REQUESTS_PER_CANCEL,
+        max_map_len=MAX_FIELDS,
+        max_ext_len=0,
+        object_pairs_hook=Fields,
+    )
+
+
 # Fields of a request --------------------------------------------------------------------------------------
 
 
--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from kelpcroft.core import effects, inputs, messages
-from kelpcroft.net.buffers import BUFFER_BYTES
 from kelpcroft.net.client_codec import CancelMessage, ClientCodec, ClientMessage
 from kelpcroft.net.fair_turns import FIRST_CLIENT_READ_BYTES, ReadPacer
 from kelpcroft.net.lingering_close import LingeringClients
@@ -55,7 +54,7 @@
     def __init__(self, handler: ClientConnections, number: int, sock: socket.socket, now: int) -> None:
         super().__init__(handler, sock, now)
         self.number = number
-        self.codec = ClientCodec(number, BUFFER_BYTES)
+        self.codec = ClientCodec(number)
         self.read_pacer = ReadPacer(FIRST_CLIENT_READ_BYTES)
         self.read_estimate = ReadEstimate()
         self.last_early_turn = self.last_turn  # number of its last turn among clients with open requests
--- a/tests/core/test_components.py
+++ b/tests/core/test_components.py
@@ -14,7 +14,7 @@
 from kelpcroft.core.connection_pool import ATTEMPTS_BEFORE_NEW_CONNECTION, ConnectionPool
 from kelpcroft.core.state import MS, SECOND
 from kelpcroft.decision.interface import FillResult, Outcome
-from kelpcroft.net.buffers import BUFFER_BYTES, BufferPool, WriteBuffer
+from kelpcroft.net.buffers import BufferPool, WriteBuffer
 from kelpcroft.net.client_codec import ClientCodec, ClientProtocolError
 from kelpcroft.net.client_connections import (
     IDLE_CLIENT_TIMEOUT_NS,
@@ -41,7 +41,7 @@
     def test_remaining_time_counts_from_the_send(self) -> None:
         """Requests that had waited unread in a busy router were served after their clients' deadlines."""
         data = msgpack.packb([0, 1, "page", [{"trace": TRACE, "patience": "900", "entity": TRACE}, b""]])
-        (request,) = ClientCodec(1, BUFFER_BYTES).receive_data(memoryview(data), 400 * MS)
+        (request,) = ClientCodec(1).receive_data(memoryview(data), 400 * MS)
         assert isinstance(request, inputs.ClientRequest)
         assert request.remaining_time_ns == 500 * MS
 
@@ -67,7 +67,7 @@
         too_long = [[0, 1, "page", [valid, b"x" * 48_001]]]
         for message in [[0, 1, "page", [fields, b""]] for fields in invalid] + too_long:
             with self.subTest(message=str(message)[:200]), pytest.raises(ClientProtocolError):
-                ClientCodec(1, BUFFER_BYTES).receive_data(memoryview(msgpack.packb(message)))
+                ClientCodec(1).receive_data(memoryview(msgpack.packb(message)))
         reducer = make_reducer()
         assert len(effects_of_type(effects.OpenServerConnection, reducer.handle(NOW, client_request(1)))) == 1
         for request in (
@@ -86,18 +86,16 @@
         """Nested lists grew in memory as they were received, far beyond the size of their bytes.  Also,
         hundreds of requests that a client sent at once were all forwarded, whether it cancelled them or not.
         """
-        codec = ClientCodec(1, BUFFER_BYTES)
+        codec = ClientCodec(1)
         with pytest.raises(ClientProtocolError):
             for _ in range(8):
                 assert codec.receive_data(memoryview((b"\x9f" + b"\x90" * 14) * 1024)) == []
                 assert codec.has_partial_message()
         fields = {"trace": TRACE, "patience": "900", "entity": TRACE}
         requests = [msgpack.packb([0, n, "page", [fields, b""]]) for n in range(1, 34)]
-        assert len(ClientCodec(1, BUFFER_BYTES).receive_data(memoryview(b"".join(requests[:32])))) == 32
+        assert len(ClientCodec(1).receive_data(memoryview(b"".join(requests[:32])))) == 32
         with pytest.raises(ClientProtocolError):
-            ClientCodec(1, BUFFER_BYTES).receive_data(
-                memoryview(b"".join([*requests, msgpack.packb([2, "cancel", [1]])]))
-            )
+            ClientCodec(1).receive_data(memoryview(b"".join([*requests, msgpack.packb([2, "cancel", [1]])])))
 
     def test_silent_and_idle_clients_are_closed(self) -> None:
         """Clients that sent one request and stayed connected used up all client connections: no other client
--- a/tests/deployment_check/test_deployments.py
+++ b/tests/deployment_check/test_deployments.py
@@ -140,7 +140,7 @@
 class RequestFields(unittest.TestCase):
     def request(self, **more_fields: str) -> ClientRequest:
         fields = {"trace": "0" * 16, "patience": "900", "entity": "0" * 16, **more_fields}
-        codec = ClientCodec(1, 65_536)
+        codec = ClientCodec(1)
         (request,) = codec.receive_data(memoryview(msgpack.packb([0, 1, "page", [fields, b""]])))
         assert isinstance(request, ClientRequest)
         return request
--- a/tests/net/test_size.py
+++ b/tests/net/test_size.py
@@ -38,9 +38,9 @@
         data = b"".join(
             msgpack.packb([0, n, "page", [fields | {"trace": f"{n:016x}"}, b"x" * n]]) for n in range(1, 4)
         )
-        expected = ClientCodec(1, BUFFER_BYTES).receive_data(memoryview(data))
+        expected = ClientCodec(1).receive_data(memoryview(data))
         for size in (1, 2, 3, 7, 64):
-            codec, decoded = ClientCodec(1, BUFFER_BYTES), []
+            codec, decoded = ClientCodec(1), []
             for start in range(0, len(data), size):
                 decoded += codec.receive_data(memoryview(data)[start : start + size])
             with self.subTest(size=size):
