The compiled program no longer ends with exit code 1 if the feed sends at the exit

Cause: flush_and_close used one variable in two loops. The compiler gives it the type of the first, a client's connection, and checks each assignment in the second, which may be the feed's.

Change: the second loop has a variable of its own.

--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -220,11 +220,12 @@
         selector = self.transport.selector
         while (self.clients.open or self.clients.lingering.clients) and self.clock.now() < end_ns:
             for key, _ in selector.select((end_ns - self.clock.now()) / SECOND):
-                client = key.data
-                if not isinstance(client, ClientConnection):
+                # Not ``client``: the compiler gives that variable the type of the loop above.
+                connection = key.data
+                if not isinstance(connection, ClientConnection):
                     selector.unregister(key.fileobj)
-                elif _has_disconnected(client):
-                    self.clients.close(client)
+                elif _has_disconnected(connection):
+                    self.clients.close(connection)
 
     # One iteration ----------------------------------------------------------------------------------------
 
--- a/tests/program/test_exchanges.py
+++ b/tests/program/test_exchanges.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
 import orjson
 
+from testbed.router_process import RouterProcess
+from testbed.stand_ins import PROGRAM_DIR, StandInServers
 from tests.support.exchange_player import EXAMPLE, KEYED_CLASS, ONE_CACHE, ROOT, WAIT_S, Player
 
 
@@ -94,6 +98,21 @@
         player.play("refused_connection.txt")
 
 
+class Exit(unittest.TestCase):
+    def test_input_of_the_feed_after_the_exit_decision_does_not_fail_the_exit(self) -> None:
+        """The compiled program ended with exit code 1 if the list service sent something then."""
+        with StandInServers() as servers, RouterProcess(servers, program=PROGRAM_DIR, release=True) as router:
+            client = router.client()  # stays connected, so that the router lingers
+            assert client.request("page").kind == "served"
+            router.process.send_signal(signal.SIGTERM)
+            end_s = time.monotonic() + WAIT_S
+            while router.process.poll() is None and time.monotonic() < end_s:
+                servers.publish(purge={"key": f"{len(servers.feed_events):016x}", "at": 1_764_576_000_000})
+                time.sleep(0.01)
+            assert router.process.returncode == 0, router.log_path.read_text()[-2_000:]
+            client.sock.close()
+
+
 class Start(unittest.TestCase):
     """Invalid configuration: the program prints one line that names the key and exits with code 2."""
 
