Two tests follow the code: a defect's source text, and the handover file by its name

The field's defect "slow" replaces lines of ServerConnections.receive that the fair turns changed. The upgrade beside a cold cache read the first of the router's files that the folder listed, and there is one more file now, the accepted configuration.

Change: the defect names the present lines and does the same as before. The test reads the handover file by its path; its assertion is unchanged.

--- a/testbed/field/builds.py
+++ b/testbed/field/builds.py
@@ -41,14 +41,11 @@
     "slow": (  # responses of servers are handled 200 ms late
         (
             "kelpcroft/net/server_connections.py",
-            (
-                "        for response in codec.receive_data(data):\n"
-                "            self.transport.handle_input(response)\n"
-            ),
+            ("        for response in responses:\n            self.transport.handle_input(response)\n"),
             (
                 "        self.delayed = getattr(self, 'delayed', [])\n"
                 "        due = self.transport.clock.now() + 200_000_000\n"
-                "        self.delayed += [(due, response) for response in codec.receive_data(data)]\n"
+                "        self.delayed += [(due, response) for response in responses]\n"
             ),
         ),
         (
--- a/tests/startup/test_restart_overlap.py
+++ b/tests/startup/test_restart_overlap.py
@@ -22,6 +22,7 @@
 from kelpcroft.decision import interface as api
 from kelpcroft.decision.policy import RoutingPolicy
 from kelpcroft.startup import RestartOverlap
+from kelpcroft.store.handover import file_path as handover_path
 from testbed.router_process import RouterClient
 from testbed.stand_ins import MAX_WAIT_S, PROGRAM_DIR, SERVERS, StandInServers
 from tests.support.exchange_player import EXAMPLE
@@ -286,7 +287,7 @@
             # Each request is 0.02 s of work; 2.0 * 0.21 * 2 = 0.83 s of work in a second overloads the cache.
             max_per_s = max(sum(at <= x < at + S for x in received_ns) for at in received_ns)
             assert max_per_s <= 41, "requests to the cold cache in one second"
-            handover = orjson.loads(next(folder.glob("kelpcroft-*.json")).read_bytes())
+            handover = orjson.loads(Path(handover_path(str(folder), raw["name"])).read_bytes())
             assert handover["ended_ms"] > 0
 
 
