--- a/benchmarks/client_memory.py
+++ b/benchmarks/client_memory.py
@@ -22,7 +22,6 @@
 CLIENTS = 340  # a third of the descriptors, which clients may hold
 HOLD_S = 1.5  # a router closes a client that stays silent within a message for 2 s
 STEP_S = 0.05  # between two bytes of a slow client
-KB_PER_MB = 1024
 MESSAGE_BYTES = 60_000
 
 FIELDS = {"trace": "9b1f03aa5c7e2d41", "patience": "1500", "entity": "7f3a9c21e0b4d655", "block": "0"}
@@ -61,22 +60,13 @@
                     client.send(bytes([byte]))
 
 
-def peak_memory_mb(router: RouterProcess) -> float:
-    """The highest resident memory of a router, in MB; 0 if it has ended."""
-    path = Path(f"/proc/{router.process.pid}/status")
-    for line in path.read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / KB_PER_MB
-    return 0.0
-
-
 def measure(program: Path, kind: str, data: bytes) -> float:
     """Peak memory with one kind of unfinished request, in MB."""
     with StandInServers() as servers, RouterProcess(servers, program=program, release=True) as router:
         router.client().sock.close()  # the router accepts clients from here on
         clients = [socket.create_connection(router.address) for _ in range(CLIENTS)]
         send(clients, kind, data)
-        peak_mb = peak_memory_mb(router)
+        peak_mb = router.peak_memory_mb()
         for client in clients:
             client.close()
     return peak_mb
--- a/benchmarks/flooding_client.py
+++ b/benchmarks/flooding_client.py
@@ -21,7 +21,7 @@
 
 import msgpack
 
-from benchmarks.client_memory import LIMIT_MB, peak_memory_mb
+from benchmarks.client_memory import LIMIT_MB
 from testbed.router_process import RouterProcess
 from testbed.stand_ins import PROGRAM_DIR, StandInServers
 
@@ -108,7 +108,7 @@
     result = Result()
     with StandInServers() as servers, RouterProcess(servers, program=program, release=True) as router:
         router.client().sock.close()  # the router accepts clients from here on
-        result.memory_before_mb = peak_memory_mb(router)
+        result.memory_before_mb = router.peak_memory_mb()
         until_s = time.monotonic() + duration_s
         threads = [threading.Thread(target=flood, args=(router.address, message, until_s, result))]
         threads += [threading.Thread(target=ask, args=(router, until_s, result)) for _ in range(CLIENTS)]
@@ -116,7 +116,7 @@
             thread.start()
         for thread in threads:
             thread.join()
-        result.memory_mb = peak_memory_mb(router)
+        result.memory_mb = router.peak_memory_mb()
     return result
 
 
--- a/testbed/router_process.py
+++ b/testbed/router_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import secrets
 import signal
 import socket
@@ -22,6 +23,7 @@
 
 READ_BYTES = 1 << 16
 RETRY_S = 0.01  # interval of polling
+KB_PER_MB = 1024
 
 
 @dataclass
@@ -127,6 +129,7 @@
         mgmt: bool = False,
         listener: socket.socket | None = None,
         predecessor: RouterProcess | None = None,
+        limits: dict[str, Any] | None = None,
     ) -> None:
         """Start the process.
 
@@ -140,6 +143,7 @@
             listener: The clients' listening socket, which the process inherits; None = it binds its own.
             predecessor: The router's process before this one, whose configuration file and ``$TMPDIR`` it
                 uses, as in an upgrade.
+            limits: Values that replace keys of the example's limits; ``sockets`` also limits the process.
         """
         self._directory = tempfile.TemporaryDirectory()
         folder = Path(self._directory.name)
@@ -154,7 +158,9 @@
             self.address = (listener or client_listener).getsockname()[:2]
             self.control_address = control_listener.getsockname()[:2]
         if predecessor is None:
-            self.config_path.write_text(json.dumps(self._configuration(servers, settings or {})))
+            self.config_path.write_text(
+                json.dumps(self._configuration(servers, settings or {}, limits or {}))
+            )
         env = {**os.environ, "ROUTER_CONFIG": str(self.config_path), "ROUTER_LOG": "json"}
         env.pop("ROUTER_RULES", None)
         if mgmt:
@@ -175,8 +181,13 @@
                 stdout=log,
                 pass_fds=() if listener is None else (listener.fileno(),),
             )
+        if limits and "sockets" in limits:
+            descriptors = limits["sockets"]
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
-    def _configuration(self, servers: StandInServers, settings: dict[str, Any]) -> dict[str, Any]:
+    def _configuration(
+        self, servers: StandInServers, settings: dict[str, Any], limits: dict[str, Any]
+    ) -> dict[str, Any]:
         """The example's configuration with the stand-ins' addresses."""
         example = json.loads((ROOT / "examples/config.json").read_bytes())
         return {
@@ -184,6 +195,7 @@
             "listen": f"127.0.0.1:{self.address[1]}",
             "feed": servers.address_of("feed"),
             "known": {"n": 1, "events": [servers.endpoint_snapshot()]},
+            "limits": {**example["limits"], **limits},
             "settings": {**example["settings"], **settings},
         }
 
@@ -195,6 +207,10 @@
         self.process.wait()
         self._directory.cleanup()
 
+    def peak_memory_mb(self) -> float:
+        """The highest resident memory of the process, in MB; 0 if it has ended."""
+        return _process_status_mb(self.process.pid, "VmHWM:")
+
     def log_events(self) -> list[dict[str, Any]]:
         """The log events that the router has written."""
         return [json.loads(line) for line in self.log_path.read_text().splitlines() if line.startswith("{")]
@@ -233,3 +249,20 @@
             except ConnectionRefusedError:
                 time.sleep(RETRY_S)
         raise RuntimeError(f"the router accepts no connections: {self.log_path.read_text()}")
+
+
+def resident_mb(router: RouterProcess) -> float:
+    """The resident memory of a router's process, in MB; 0 if it has ended."""
+    return _process_status_mb(router.process.pid, "VmRSS:")
+
+
+def _process_status_mb(pid: int, key: str) -> float:
+    """A value of ``/proc/PID/status`` in MB (proc(5)); 0 if the process has ended."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith(key):
+            return int(line.split()[1]) / KB_PER_MB
+    return 0.0
