An unfinished message takes its bytes once; a length over its limit is rejected

Cause: the bytes of an unfinished message were held twice, by the codec and by the buffer of msgpack's scanner, which needs a whole string in one piece; the buffer also takes 4 KB on each idle connection.

Change: a scanner of our own (net/message_scanner.py) holds three numbers instead of the bytes. It rejects a string, array, map or extension over its limit with the head that states it, where the decoder rejected it after the whole message. It also knows how many bytes complete a message once its last value has begun. One test used an array with a length over the limit to reach the limit of 64 KB; it uses arrays of the longest allowed length now, and the early rejection has a test of its own.

--- a/kelpcroft/net/client_codec.py
+++ b/kelpcroft/net/client_codec.py
@@ -18,6 +18,7 @@
 from kelpcroft.core.inputs import ClientRequest, HealthRequest
 from kelpcroft.core.messages import Body
 from kelpcroft.net.errors import ProtocolError
+from kelpcroft.net.message_scanner import MessageLimits, MessageScanner
 
 NS_PER_MS: Final = 1_000_000
 
@@ -37,7 +38,6 @@
 MAX_COUNT_DIGITS: Final = 12  # length of a numeric field
 MAX_SIZE_CHARS: Final = 32  # length of the field with a part's size; a longer one is ignored
 IDENTIFIER_CHARS: Final = 16  # length of the ids of objects, traces and copies: 64 bits as hex digits
-SCAN_BYTES: Final = 4_096  # initial size of the scanner's buffer, and how many bytes it is given at once
 
 # Visible ASCII except comma and equals sign, which separate the fields of a server's command.
 IDEMPOTENCY_KEY = re.compile(rf"[!-+\--<>-~]{{1,{MAX_IDEMPOTENCY_KEY_CHARS}}}")
@@ -47,6 +47,7 @@
 REQUEST: Final = 0
 RESPONSE: Final = 1
 NOTIFICATION: Final = 2
+MESSAGE_LIMITS: Final = MessageLimits(MAX_FIELD_BYTES, MAX_BODY_BYTES, MAX_REQUESTS_PER_CANCEL, MAX_FIELDS)
 NO_FIELDS = b"\x80"  # an empty map
 NOT_MODIFIED_FIELDS = msgpack.packb({"keep": "1"})  # the client's copy is current
 
@@ -84,6 +85,9 @@
 
     A scanner finds the end of each message without creating its values: the values of an incomplete message
     may take far more memory than its bytes, for each of hundreds of connections.
+
+    Attributes:
+        partial: The bytes of the incomplete message.
     """
 
     def __init__(self, client: int) -> None:
@@ -94,10 +98,8 @@
         """
         self.client = client
         self.queued_ns = 0  # how long the bytes being decoded may have waited before they were read
-        self.received_bytes = 0
-        self.decoded_bytes = 0  # how many of the received bytes belong to complete messages
-        self.partial = bytearray()  # the bytes of the incomplete message
-        self.scanner = _new_scanner()
+        self.partial = bytearray()
+        self.scanner = MessageScanner(MESSAGE_LIMITS)
 
     def receive_data(self, data: memoryview, queued_ns: int = 0) -> list[ClientMessage]:
         """Decodes bytes and returns the messages that they complete.
@@ -112,11 +114,12 @@
                 completes too many requests.
         """
         self.queued_ns = queued_ns
-        self.received_bytes += len(data)
         try:
             messages = self._decode_messages(data)
         except ClientProtocolError:
             raise
+        except ProtocolError as error:  # of the scanner
+            raise ClientProtocolError(str(error)) from error
         except Exception as error:  # msgpack raises many types of exception, all of them for malformed bytes
             raise ClientProtocolError(f"{type(error).__name__}: {error}") from error
         return messages
@@ -137,35 +140,39 @@
         return messages
 
     def _split_messages(self, data: memoryview) -> Iterator[bytes]:
-        """Yields the bytes of each complete message.
+        """Yields the bytes of each complete message, and keeps those of an incomplete one.
 
         Raises:
-            ClientProtocolError: A message is too large.
+            ProtocolError: A message is too large, or has a length over its limit.
         """
-        for start in range(0, len(data), SCAN_BYTES):
-            piece = data[start : start + SCAN_BYTES]
-            self.scanner.feed(piece)
-            self.partial += piece
-            while self.partial and self._skip_message():
-                size = self.scanner.tell() - self.decoded_bytes
-                message_bytes = bytes(memoryview(self.partial)[:size])
-                del self.partial[:size]
-                self.decoded_bytes += size
-                yield message_bytes
-            if len(self.partial) > MAX_MESSAGE_BYTES:
-                raise ClientProtocolError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
-
-    def _skip_message(self) -> bool:
-        """Moves the scanner behind the next message; returns False if it is incomplete."""
-        try:
-            self.scanner.skip()
-        except msgpack.OutOfData:
-            return False
-        return True
+        partial = self.partial
+        partial += data
+        start = 0
+        while start < len(partial) and self.scanner.scan(partial):
+            end = self.scanner.position
+            if end - start > MAX_MESSAGE_BYTES:
+                break
+            yield bytes(memoryview(partial)[start:end])
+            start = end
+            self.scanner.begin(start)
+        if len(partial) - start > MAX_MESSAGE_BYTES:
+            raise ClientProtocolError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
+        if start:
+            self.partial = partial[start:]  # a copy, so that the memory of the complete messages is released
+            self.scanner.position -= start
 
     def has_partial_message(self) -> bool:
         """Whether an incomplete message has been received."""
-        return self.received_bytes > self.decoded_bytes
+        return bool(self.partial)
+
+    def missing_bytes(self) -> int:
+        """Returns how many bytes complete the incomplete message; 0 if that is not known yet."""
+        return self.scanner.missing_bytes(len(self.partial))
+
+    def discard_partial_message(self) -> None:
+        """Releases the bytes of an incomplete message, on a connection whose input is no longer decoded."""
+        self.partial = bytearray()
+        self.scanner.begin(0)
 
     def _convert_message(self, raw: Any) -> ClientMessage:
         """Converts one decoded message: a request, a health check or a cancel."""
@@ -221,11 +228,6 @@
         )
 
 
-def _new_scanner() -> msgpack.Unpacker:
-    """Returns a scanner for the messages of one connection; its buffer holds one string at least."""
-    return msgpack.Unpacker(read_size=SCAN_BYTES, max_buffer_size=MAX_MESSAGE_BYTES + 2 * SCAN_BYTES)
-
-
 def _decode(message_bytes: bytes) -> Any:
     """Decodes one complete message; raises one of many exceptions if it is malformed."""
     return msgpack.unpackb(
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -30,9 +30,28 @@
 
 
 def test_a_message_that_stays_unfinished_is_rejected_at_its_limit() -> None:
+    # Each array ends with the next one, and all their lengths are allowed.
+    arrays = (b"\xdc\x04\x00" + b"\x90" * 1023) * (MAX_MESSAGE_BYTES // 1024)
     codec = ClientCodec(1)
+    assert codec.receive_data(memoryview(arrays[:MAX_MESSAGE_BYTES])) == []
     with pytest.raises(ClientProtocolError, match="over 65536 bytes"):
-        codec.receive_data(memoryview(b"\xdd\x00\xff\xff\xff" + b"\x90" * MAX_MESSAGE_BYTES))
+        codec.receive_data(memoryview(arrays[MAX_MESSAGE_BYTES : MAX_MESSAGE_BYTES + 1]))
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"\xdd\x00\xff\xff\xff",  # an array
+        b"\xde\x00\x41",  # a map
+        b"\xc5\xbb\x81",  # a binary
+        b"\xda\x04\x01",  # a string
+        b"\xc7\x01\x05",  # an extension
+        b"\xc1",
+    ],
+)
+def test_a_length_over_its_limit_is_rejected_with_its_head(head: bytes) -> None:
+    with pytest.raises(ClientProtocolError):
+        ClientCodec(1).receive_data(memoryview(b"\x94\x00" + head))
 
 
 def test_a_message_split_at_every_byte_is_decoded_once() -> None:
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -67,6 +67,7 @@
     "kelpcroft/core/clients.py",
     "kelpcroft/core/reducer.py",
     "kelpcroft/net/read_estimate.py",
+    "kelpcroft/net/message_scanner.py",
     "kelpcroft/net/client_codec.py",
     "kelpcroft/net/server_codec.py",
     "kelpcroft/net/buffers.py",
