What peers make the process hold has one account, whose sum follows limits.memory_mb

The log did not say what it held.

Cause: every bound was one for each peer (a message 64 KB, a backlog 64 messages, 32 open requests of 48 KB, a response 256 KB); the sum over peers and holders had none, and the peak did not know the limit.

Change: core.memory_budget divides the limit, less the idle process as measured at the start, among unfinished messages, open requests, servers' unfinished responses and unsent output; endpoints and servers' connections that come later reduce it. With an inherited socket each process plans with half. Each holder is charged where it is taken. Without room, in this order: a client with a large unfinished message is not read until its rest waits in the kernel or there is room, nor is a server's next response; a request is rejected before any attempt; the response to a client with unread ones is replaced by a failure; a client is closed that has stopped within a message and has no request open, or that has accepted no output for longest. A request that was read gets its response; who leaves while unread is noticed. Buffers of unsent output have 4 KB, as hundreds of clients use a part of one. memory.limit, memory.short, memory.enough and GET /control/state say who holds what, and who was turned away. The last flush is a module of its own.

Why it works: each use has a bounded share, the shares add up to the limit, and what waits in the kernel costs the process nothing. Three assertions that count buffers count them by their new size.

--- a/kelpcroft/__main__.py
+++ b/kelpcroft/__main__.py
@@ -23,6 +23,7 @@
 from kelpcroft.net import listeners, predecessor_files
 from kelpcroft.net.clock import Clock
 from kelpcroft.net.event_loop import EventLoop
+from kelpcroft.net.memory import resident_bytes
 
 EXIT_ENDED = 0
 EXIT_BAD_CONFIGURATION = 2
@@ -56,7 +57,15 @@
     gc.set_threshold(*GC_THRESHOLDS)
     delay_ns = _crash_loop_delay_ns(config, operator_file)
     predecessor = predecessor_files.read_predecessor(config)
-    loop.start(signal_pipe, operator_file, listener, control_listener, predecessor, delay_ns)
+    loop.start(
+        signal_pipe,
+        operator_file,
+        listener,
+        control_listener,
+        predecessor,
+        delay_ns,
+        resident_bytes,
+    )
     loop.run()
     return EXIT_ENDED
 
--- a/kelpcroft/core/attempt_completion.py
+++ b/kelpcroft/core/attempt_completion.py
@@ -95,6 +95,7 @@
         self.connections.release(connection)
         del self.state.attempt_numbers[request.id, attempt.index]
         request.attempts_in_flight -= 1
+        self.state.release_memory(request)
         self.state.requests_to_check.append(request)
 
     def record_execution(self, attempt: Attempt, outcome: Outcome) -> None:
--- a/kelpcroft/core/client_requests.py
+++ b/kelpcroft/core/client_requests.py
@@ -6,6 +6,7 @@
 
 from kelpcroft.core.effects import CloseClient, Effect, FailRequest, RejectRequest, SendResponse
 from kelpcroft.core.inputs import ClientRequest
+from kelpcroft.core.memory_budget import REQUEST_BYTES
 from kelpcroft.core.state import OpenRequest, State
 from kelpcroft.decision import interface as api
 from kelpcroft.decision.interface import Idempotency, RequestClass
@@ -106,6 +107,9 @@
         max_open = state.settings.limits.max_open_requests
         if max_open and len(state.requests) >= max_open:
             return "too many open"
+        if not state.memory.open_requests.has_room(message.client, memory_of(message)):
+            state.memory.turned_away["requests rejected"] += 1
+            return "no memory"
         return ""
 
     def admit(self, message: ClientRequest, request_class: RequestClass, is_keyed: bool) -> None:
@@ -124,7 +128,9 @@
             state.now + time_allowed_ns,
             allowance,
             time_allowed_ns=time_allowed_ns,
+            charged_bytes=memory_of(message),
         )
+        state.memory.open_requests.charge(message.client, request.charged_bytes)
         state.requests[number] = request
         state.requests_by_client.setdefault(message.client, {})[message.request_number] = request
         state.open_trace_ids.add(message.trace_id)
@@ -210,6 +216,7 @@
         state = self.state
         request.has_final_response = True
         self.remove_from_tables(request)
+        state.release_memory(request)
         if request.allowance is not None:
             request.allowance.release()
         if state.statistics is not None:
@@ -277,6 +284,11 @@
             self.finish(request, FailRequest(client, request_number))
 
 
+def memory_of(message: ClientRequest) -> int:
+    """The memory that a request takes while it is pending or open, in bytes."""
+    return REQUEST_BYTES + len(message.body)
+
+
 def decision_request(
     request: OpenRequest, prior_execution: api.PossibleExecution | None, prior_attempt_unknown: bool
 ) -> api.Request:
--- a/kelpcroft/core/effects.py
+++ b/kelpcroft/core/effects.py
@@ -266,6 +266,13 @@
     is_enabled: bool
 
 
+@message
+class LimitUnsentOutput:
+    """Bound the memory of output that sockets have not accepted."""
+
+    byte_count: int
+
+
 @message
 class Exit:
     """Flush all pending output, then exit with status 0."""
@@ -297,5 +304,6 @@
     | PersistAcceptedConfig
     | SetStateEndpoint
     | DrainClients
+    | LimitUnsentOutput
     | Exit
 )
--- a/kelpcroft/core/housekeeping.py
+++ b/kelpcroft/core/housekeeping.py
@@ -1,8 +1,9 @@
-"""Periodic work: closing idle connections, expiring retired ids, updating fleet size, logging counters."""
+"""Periodic work: closing idle connections, expiring retired ids, updating estimates, logging counters."""
 
 from __future__ import annotations
 
 from kelpcroft.core.connection_pool import PooledConnection
+from kelpcroft.core.memory_limit import MemoryLimit
 from kelpcroft.core.messages import TimerKind
 from kelpcroft.core.operator_settings import OperatorSettings
 from kelpcroft.core.process_log import log_counters
@@ -21,11 +22,16 @@
     """Runs the periodic work of one router."""
 
     def __init__(
-        self, state: State, connections: ServerConnections, operator_settings: OperatorSettings
+        self,
+        state: State,
+        connections: ServerConnections,
+        operator_settings: OperatorSettings,
+        memory_limit: MemoryLimit,
     ) -> None:
         self.state = state
         self.connections = connections
         self.operator_settings = operator_settings
+        self.memory_limit = memory_limit
         self.counters_logged_ns = 0
 
     def start(self) -> None:
@@ -39,6 +45,7 @@
         state.schedule(HOUSEKEEPING_INTERVAL_NS, TimerKind.HOUSEKEEPING)
         if state.fleet_size is not None:
             self.operator_settings.set_zone_routers(state.fleet_size.estimated_routers(state.now))
+        self.memory_limit.follow_growth()
         idle_limit_ns = int(IDLE_CLOSE_SHARE * state.config.server_idle_timeout_ns)
         for connection in list(state.connections.by_number.values()):
             self.expire_retired_ids(connection)
--- a/kelpcroft/core/inputs.py
+++ b/kelpcroft/core/inputs.py
@@ -381,6 +381,13 @@
     instance: str
 
 
+@message
+class IdleMemory:
+    """The resident memory of this process before its first client, in bytes."""
+
+    resident_bytes: int
+
+
 @message
 class ShutdownRequested:
     """The platform requested that this process end (SIGTERM)."""
@@ -439,6 +446,7 @@
     | WatchFailed
     | ListenersReady
     | TimerFired
+    | IdleMemory
     | ShutdownRequested
     | ConfigFileRead
     | OperatorFileRead
--- a/kelpcroft/core/reducer.py
+++ b/kelpcroft/core/reducer.py
@@ -28,6 +28,7 @@
 from kelpcroft.core.feed_watch import FeedWatch
 from kelpcroft.core.housekeeping import Housekeeping
 from kelpcroft.core.inputs import Input
+from kelpcroft.core.memory_limit import MemoryLimit
 from kelpcroft.core.messages import TimerKind
 from kelpcroft.core.operator_settings import OperatorSettings
 from kelpcroft.core.predecessor import Predecessor
@@ -66,12 +67,15 @@
             self.state, self.process, self.position, self.endpoint_list, self.watch, self.feed_recorder
         )
         self.config_reload = ConfigReload(self.state, self.watch)
+        self.memory_limit = MemoryLimit(self.state)
         self.operator_settings = OperatorSettings(self.state, self.process, self.watch)
         self.restart_overlap = RestartOverlap(config.settings, self.service_state.shares_listener)
         self.predecessor = Predecessor(self.state, self.process, self.restart_overlap)
         self.clients = Clients(self.state, self.process, self.requests, self.attempts, self.endpoint_list)
         self.control_requests = ControlRequests(self.state, self.process, self.endpoint_list)
-        self.housekeeping = Housekeeping(self.state, self.attempts.connections, self.operator_settings)
+        self.housekeeping = Housekeeping(
+            self.state, self.attempts.connections, self.operator_settings, self.memory_limit
+        )
         self.shutdown = Shutdown(self.state, self.process, self.housekeeping)
         self.timers = Timers(
             self.state, self.attempts, self.numbered_timer_handlers(), self.unnumbered_timer_handlers()
@@ -103,6 +107,7 @@
             inputs.PredecessorEnded: self.predecessor.on_ended,
             inputs.ConfigFileRead: self.config_reload.on_file_read,
             inputs.OperatorFileRead: self.operator_settings.on_file_read,
+            inputs.IdleMemory: self.memory_limit.on_idle_memory,
             inputs.ShutdownRequested: self.shutdown.on_requested,
         }
 
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -16,6 +16,8 @@
 from kelpcroft.core.effects import Effect, LogEvent, ScheduleTimer
 from kelpcroft.core.idempotency_keys import IdempotencyKeys
 from kelpcroft.core.inputs import ClientRequest, EndpointRecord
+from kelpcroft.core.memory_budget import MemoryAccount
+from kelpcroft.core.memory_limit import initial_budget
 from kelpcroft.core.messages import TimerKey, TimerKind
 from kelpcroft.core.request_statistics import RequestStatistics
 from kelpcroft.decision import interface as api
@@ -74,6 +76,7 @@
         may_have_executed: The attempt that ended last may have run.
         is_backing_off: The request waits for its next attempt, which is already charged to its budget.
         time_allowed_ns: Time from the admission of the request to its deadline.
+        charged_bytes: Memory that the request is charged for.
     """
 
     id: str
@@ -87,6 +90,7 @@
     may_have_executed: bool = False
     is_backing_off: bool = False
     time_allowed_ns: int = 0
+    charged_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -104,6 +108,7 @@
 
     Requests are bounded by ``settings.limits.max_open``, if it is set, and by MAX_OPEN_REQUESTS_PER_CLIENT
     for each client; connections to servers by the file descriptors; idempotency keys by MAX_KEYS.
+    ``memory`` bounds the sum of what peers make the process hold.
     """
 
     def __init__(self, config: Config) -> None:
@@ -137,6 +142,7 @@
         # Bounds fetches at the origin during startup, only where the operator's file enables it.
         self.origin_limit: OriginConcurrencyLimit | None = None
         self.fleet_size: FleetSizeEstimator | None = None  # only where the operator's file enables it
+        self.memory = MemoryAccount(initial_budget(config))
         self.counters: Counter[str] = Counter()
         self.effects: list[Effect] = []
         self.events: deque[api.Event] = deque()  # events of the current input for the decision package
@@ -161,6 +167,12 @@
         """Schedule a timer that expires ``after_ns`` after the time of the current input."""
         self.effects.append(ScheduleTimer(self.now + after_ns, TimerKey(kind, number, 0)))
 
+    def release_memory(self, request: OpenRequest) -> None:
+        """Release the memory of a request once it has a final response and no attempt in flight."""
+        if request.has_final_response and not request.attempts_in_flight:
+            self.memory.open_requests.release(request.message.client, request.charged_bytes)
+            request.charged_bytes = 0
+
     def change_settings(self, settings: api.Settings) -> None:
         """Use these settings from now on, in the core and in the decision package."""
         self.settings = settings
--- a/kelpcroft/deployment_check/known_keys.py
+++ b/kelpcroft/deployment_check/known_keys.py
@@ -149,7 +149,7 @@
         "",
         "the platform enforces it; the router has only one event loop in any case",
     ),
-    ConfigurationKey("limits.memory_mb", number(1), "config, net.buffers", "192"),
+    ConfigurationKey("limits.memory_mb", number(1), "core.memory_limit", "192"),
     ConfigurationKey(
         "limits.sockets", number(64, is_whole=True), "config, core.descriptors, net.event_loop", "1024"
     ),
--- a/kelpcroft/net/buffers.py
+++ b/kelpcroft/net/buffers.py
@@ -4,12 +4,15 @@
 
 import socket
 from collections import deque
+from collections.abc import Callable
+from itertools import islice
 from typing import Final
 
 from kelpcroft.core.messages import Body
 from kelpcroft.invariants import check_invariant
 
-BUFFER_BYTES: Final = 64 * 1024
+BUFFER_BYTES: Final = 64 * 1024  # size of the buffer into which sockets are read
+STORED_BUFFER_BYTES: Final = 4 * 1024  # size of a pooled buffer; hundreds of clients may use a part of one
 MAX_CHUNKS_PER_WRITE: Final = 64  # chunks in one gathering write; the kernel accepts at most 1,024
 
 
@@ -20,17 +23,33 @@
         self.capacity = capacity
         self.in_use = 0
         self.free: list[bytearray] = []
+        # Called when all buffers are in use; returns whether it has released some.
+        self.reclaim: Callable[[], bool] | None = None
 
     def acquire(self) -> bytearray | None:
-        """Returns a buffer, or None if all are in use."""
-        if self.in_use >= self.capacity:
-            return None
+        """Returns a buffer, or None if all are in use and none can be reclaimed."""
+        while self.in_use >= self.capacity:
+            if self.reclaim is None or not self.reclaim():
+                return None
         self.in_use += 1
-        return self.free.pop() if self.free else bytearray(BUFFER_BYTES)
+        return self.free.pop() if self.free else bytearray(STORED_BUFFER_BYTES)
+
+    def used_bytes(self) -> int:
+        """Returns the size of the buffers in use."""
+        return self.in_use * STORED_BUFFER_BYTES
+
+    def free_bytes(self) -> int:
+        """Returns the size of the buffers that are not in use."""
+        return (self.capacity - self.in_use) * STORED_BUFFER_BYTES
+
+    def set_limit(self, byte_count: int) -> None:
+        """Changes the size of all buffers together; those in use stay in use."""
+        self.capacity = byte_count // STORED_BUFFER_BYTES
+        del self.free[max(0, self.capacity - self.in_use) :]
 
     def release(self, buffer: bytearray) -> None:
         """Returns a buffer to the pool."""
-        if check_invariant(self.in_use > 0 and len(buffer) == BUFFER_BYTES, "a buffer goes back once"):
+        if check_invariant(self.in_use > 0 and len(buffer) == STORED_BUFFER_BYTES, "a buffer goes back once"):
             self.in_use -= 1
             self.free.append(buffer)
 
@@ -56,7 +75,7 @@
 
     def stored_bytes(self) -> int:
         """Returns the number of bytes in pooled buffers; chunks not yet passed to a write do not count."""
-        return (len(self.stored) - 1) * BUFFER_BYTES + self.end - self.start if self.stored else 0
+        return (len(self.stored) - 1) * STORED_BUFFER_BYTES + self.end - self.start if self.stored else 0
 
     def write(self, sock: socket.socket) -> bool:
         """Writes as much as the socket accepts, and stores the rest.
@@ -89,20 +108,32 @@
     def _write_stored(self, sock: socket.socket) -> bool:
         """Writes the stored bytes; returns whether all of them are written."""
         while self.stored:
-            is_last = len(self.stored) == 1
-            view = memoryview(self.stored[0])[self.start : self.end if is_last else BUFFER_BYTES]
+            views = self._first_stored()
             try:
-                sent = sock.send(view)
+                sent = sock.sendmsg(views)
             except BlockingIOError:
                 return False
-            self.start += sent
             self.sent_bytes += sent
-            if sent < len(view):
+            is_partial = sent < sum(map(len, views))
+            for view in views:
+                if sent < len(view):
+                    self.start += sent
+                    break
+                sent -= len(view)
+                self.pool.release(self.stored.popleft())
+                self.start = 0
+            if is_partial:
                 return False
-            self.pool.release(self.stored.popleft())
-            self.start = 0
         return True
 
+    def _first_stored(self) -> list[memoryview]:
+        """Returns the unsent bytes of the first pooled buffers."""
+        views = [memoryview(buffer) for buffer in islice(self.stored, MAX_CHUNKS_PER_WRITE)]
+        if len(views) == len(self.stored):
+            views[-1] = views[-1][: self.end]
+        views[0] = views[0][self.start :]
+        return views
+
     def _store(self, index: int, skipped_bytes: int) -> bool:
         """Copies unsent chunks into pooled buffers.
 
@@ -119,7 +150,7 @@
             view = memoryview(chunk)[skipped_bytes:]
             skipped_bytes = 0
             while view:
-                if not self.stored or self.end == BUFFER_BYTES:
+                if not self.stored or self.end == STORED_BUFFER_BYTES:
                     buffer = self.pool.acquire()
                     if buffer is None:
                         return False
@@ -127,7 +158,7 @@
                         self.start = 0
                     self.stored.append(buffer)
                     self.end = 0
-                count = min(len(view), BUFFER_BYTES - self.end)
+                count = min(len(view), STORED_BUFFER_BYTES - self.end)
                 self.stored[-1][self.end : self.end + count] = view[:count]
                 self.end += count
                 view = view[count:]
--- a/kelpcroft/net/client_acceptor.py
+++ b/kelpcroft/net/client_acceptor.py
@@ -7,6 +7,7 @@
 
 from kelpcroft.core import effects, inputs
 from kelpcroft.net.client_connections import ClientConnection, ClientConnections
+from kelpcroft.net.client_memory import enlarge_receive_buffer
 from kelpcroft.net.listeners import LISTEN_QUEUE_LENGTH, Listener, bind_listener, listening_address
 from kelpcroft.net.transport import (
     MAX_ACCEPTS_PER_ITERATION,
@@ -56,6 +57,7 @@
                 if not self._recover_from_failed_accept(error):
                     return False
                 continue
+            enlarge_receive_buffer(sock)
             number = self.transport.next_number()
             client = ClientConnection(self.clients, number, sock, self.transport.clock.now())
             self.clients.open[number] = client
--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -9,6 +9,7 @@
 
 from kelpcroft.core import effects, inputs, messages
 from kelpcroft.net.client_codec import CancelMessage, ClientCodec, ClientMessage
+from kelpcroft.net.client_memory import ClientMemory
 from kelpcroft.net.fair_turns import FIRST_CLIENT_READ_BYTES, ReadPacer
 from kelpcroft.net.lingering_close import LingeringClients
 from kelpcroft.net.listeners import Listener
@@ -68,6 +69,9 @@
         self.closing_since_ns = 0
         self.has_misbehaved = False  # its connection was closed for what it sent
         self.discarded_bytes = 0  # bytes of input discarded since ``closing_since_ns``
+        self.last_read_ns = now  # when bytes were last received
+        self.has_reservation = False  # memory for its incomplete message is reserved
+        self.pending_bytes = 0  # memory for which its pending messages are charged
 
     def cancel_pending(self, request_numbers: frozenset[int]) -> set[int]:
         """Drops requests that the reducer has not received yet; returns the numbers of those dropped."""
@@ -114,6 +118,8 @@
         self.max_open = max_open
         self.open: dict[int, ClientConnection] = {}
         self.lingering = LingeringClients(self, max_closing)
+        self.memory = ClientMemory(self, transport)
+        transport.pool.reclaim = self.memory.reclaim_output
         self.clients_with_pending: dict[ClientConnection, None] = {}  # clients with pending messages
         # Closes that the reducer has requested, each with its reason.
         self.requested_closes: list[tuple[ClientConnection, str]] = []
@@ -154,6 +160,22 @@
         else:
             super().read(connection)
 
+    def may_read(self, connection: ClientConnection) -> bool:
+        """Whether there is memory for what a read may add to the client's incomplete message."""
+        if self.memory.may_read(connection):
+            return True
+        # The input waits from now on: its time in the socket counts when it is read.
+        connection.unread_since_ns = connection.unread_since_ns or self.transport.clock.now() - self.queued_ns
+        return False
+
+    def max_read_bytes(self, connection: ClientConnection) -> int:
+        """Returns how many bytes may be read at once."""
+        return self.memory.max_read_bytes(connection)
+
+    def resumed(self, connection: ClientConnection) -> None:
+        """The time in which a client was not read does not count as its own."""
+        self.memory.resumed(connection)
+
     def reads_until_empty(self) -> bool:
         """Whether a disconnect may be waiting in the socket behind unread input."""
         return self.max_unread_ns > POSSIBLE_DISCONNECT_AFTER_NS
@@ -180,12 +202,15 @@
                 self.cancel(connection, message.request_numbers)
             else:
                 connection.pending_messages.append((now, message))
+                self.memory.charge_pending(connection, message)
                 self.clients_with_pending[connection] = None
+        self.memory.after_read(connection)
 
     def cancel(self, client: ClientConnection, request_numbers: frozenset[int]) -> None:
         """Cancels a client's requests; numbers of requests that are not open cost nothing."""
         # A pending request is dropped without an attempt, and no response to it is due.
         dropped = client.cancel_pending(request_numbers)
+        self.memory.release_cancelled(client)
         open_numbers = self.transport.reducer.state.requests_by_client.get(client.number, {}).keys()
         for request_number in sorted(open_numbers & request_numbers - dropped):
             self.transport.handle_input(inputs.CancelRequest(client.number, request_number))
@@ -199,6 +224,7 @@
             if not client.pending_messages or client.is_closing:
                 break
             read_ns, message = client.pending_messages.popleft()
+            self.memory.release_pending(client, message)
             queued_ns = self.transport.clock.now() - read_ns
             if queued_ns > MIN_REPORTED_QUEUED_NS and isinstance(message, inputs.ClientRequest):
                 message = replace(
@@ -209,6 +235,7 @@
             self.transport.handle_input(message)
         if client.is_closing:
             client.pending_messages.clear()
+            self.memory.release_all(client)
         if not client.pending_messages:
             self.clients_with_pending.pop(client, None)
 
@@ -248,6 +275,8 @@
         client.is_closing = True
         client.closing_since_ns = self.transport.clock.now()
         self.clients_with_pending.pop(client, None)
+        client.pending_messages.clear()
+        self.memory.release_all(client)
         del self.open[client.number]
         self.listener.set_registered(True)
         self._log_loss(client, reason)
@@ -318,6 +347,7 @@
         self.transport.close(connection)
         self.clients_with_pending.pop(connection, None)
         connection.pending_messages.clear()
+        self.memory.release_all(connection)
         self.open.pop(connection.number, None)
         self.lingering.clients.pop(connection.number, None)
         if len(self.open) < self.max_open:
@@ -362,6 +392,7 @@
         """
         self.logged_losses = 0
         self.lingering.sweep(now)
+        self.memory.sweep(now)
         if self.is_draining:
             self._close_idle()
         for client in list(self.open.values()):
--- a/kelpcroft/net/client_responses.py
+++ b/kelpcroft/net/client_responses.py
@@ -14,7 +14,17 @@
         self.clients = clients
 
     def send_response(self, effect: effects.SendResponse) -> None:
-        """Sends the response to a request that was served."""
+        """Sends the response to a request that was served.
+
+        If there is no memory for the response of a client that does not read the ones before it, the client
+        receives a failure in its place.
+        """
+        client = self.clients.open.get(effect.client)
+        if client is None:
+            return
+        if not self.clients.memory.has_room_for_response(client, len(effect.body)):
+            self.clients.send(effect.client, (client_codec.encode_failure(effect.request_number),))
+            return
         chunks = client_codec.encode_response(effect.request_number, effect.body, effect.not_modified)
         self.clients.send(effect.client, chunks)
 
--- a/kelpcroft/net/control_endpoint.py
+++ b/kelpcroft/net/control_endpoint.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+from collections.abc import Callable
 from typing import Final
 
 from kelpcroft.core import effects, inputs
@@ -40,8 +41,16 @@
 class ControlEndpoint(ConnectionHandler[ControlConnection]):
     """The control address and its clients."""
 
-    def __init__(self, transport: Transport, acceptor: ClientAcceptor, max_connections: int) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        acceptor: ClientAcceptor,
+        max_connections: int,
+        memory_state: Callable[[], dict[str, object]],
+    ) -> None:
+        """``memory_state`` returns what the state on the control address says about memory."""
         super().__init__(transport)
+        self.memory_state = memory_state
         self.acceptor = acceptor
         self.max_connections = max_connections
         self.listener = Listener(transport)
@@ -102,7 +111,7 @@
             return
         fields = effect.fields
         if "instance" in fields:  # the response to GET /control/state
-            fields = {**fields, "memory_kb": peak_kb()}
+            fields = {**fields, "memory_kb": peak_kb(), "memory": self.memory_state()}
         self._send_response(
             connection, control_codec.encode_control_response(effect.ok, fields, connection.codec.omits_body)
         )
--- a/kelpcroft/net/event_loop.py
+++ b/kelpcroft/net/event_loop.py
@@ -19,7 +19,6 @@
 from kelpcroft.core.descriptors import allocate_descriptors
 from kelpcroft.core.shutdown import SHUTDOWN_LAST_STEP
 from kelpcroft.log import EventLog
-from kelpcroft.net.buffers import BUFFER_BYTES
 from kelpcroft.net.client_acceptor import ClientAcceptor
 from kelpcroft.net.client_connections import ClientConnection, ClientConnections
 from kelpcroft.net.client_responses import ClientResponses
@@ -28,12 +27,20 @@
 from kelpcroft.net.control_endpoint import ControlEndpoint
 from kelpcroft.net.fair_turns import in_turn
 from kelpcroft.net.feed_client import FEED_ONLY_NS, FeedClient
+from kelpcroft.net.final_flush import flush_and_close
 from kelpcroft.net.listeners import Listener
+from kelpcroft.net.memory_log import MemoryLog
 from kelpcroft.net.predecessor_files import PredecessorFiles, PredecessorRecords
 from kelpcroft.net.ready_connections import Arrival, ReadyConnection, ReadyConnections
 from kelpcroft.net.server_connections import ServerConnections
 from kelpcroft.net.signals import ReadConfig, ReadOperatorFile, Signals
-from kelpcroft.net.transport import SECOND, Connection, Transport
+from kelpcroft.net.transport import (
+    MAX_QUEUED_BYTES,
+    RESUME_INTERVAL_NS,
+    SECOND,
+    Connection,
+    Transport,
+)
 
 MAX_WAIT_S: Final = 1.0  # maximum time that one iteration waits for the selector
 # In each iteration, new requests are dispatched for at most this long after the selector returned.
@@ -57,7 +64,6 @@
 MAX_RESPONSE_DELAY_NS: Final = 2_400_000_000
 # Interval at which a delayed exit is retried.
 SHUTDOWN_RETRY_INTERVAL_NS: Final = MAX_SHUTDOWN_DELAY_NS // 100
-SHUTDOWN_LINGER_NS: Final = SECOND // 5  # time at the exit in which clients can read the last responses
 
 # Due time, unique number, key of the timer; the heap is ordered by the first two.
 Timer = tuple[int, int, messages.TimerKey]
@@ -94,7 +100,10 @@
         connector = Connector(self.acceptor)
         self.servers = ServerConnections(self.transport, connector)
         self.feed = FeedClient(self.transport, connector)
-        self.control = ControlEndpoint(self.transport, self.acceptor, budget.control_clients)
+        self.memory_log = MemoryLog(self.transport)
+        self.control = ControlEndpoint(
+            self.transport, self.acceptor, budget.control_clients, self.memory_log.state
+        )
         self.predecessor = PredecessorFiles(self.transport)
         self.signals = Signals(self.transport, read_config, read_operator_file)
         self.transport.effect_handlers = self._effect_handlers()
@@ -136,6 +145,7 @@
             effects.ReadPredecessorFeed: self.predecessor.read_predecessor_feed,
             effects.PersistReplacedSettings: self.predecessor.persist_replaced_settings,
             effects.PersistAcceptedConfig: self.predecessor.persist_accepted_config,
+            effects.LimitUnsentOutput: self.limit_unsent_output,
             effects.LogEvent: self.transport.write_log_event,
             effects.Exit: self._exit,
         }
@@ -160,6 +170,7 @@
         control_listener: socket.socket | None = None,
         predecessor: PredecessorRecords | None = None,
         crash_loop_delay_ns: int = 0,
+        measure_memory: Callable[[], int] | None = None,
     ) -> None:
         """Opens the listening sockets and starts the reducer.
 
@@ -171,6 +182,7 @@
                 configuration names an address.
             predecessor: What the router's predecessor process left.
             crash_loop_delay_ns: Extra delay of the first list request, for a router that restarts repeatedly.
+            measure_memory: Returns the resident memory of the process in bytes; None = it is not measured.
         """
         transport = self.transport
         predecessor = predecessor or PredecessorRecords()
@@ -186,6 +198,8 @@
                 self.clock.now(), start_options, crash_loop_delay_ns, replicas, predecessor.feed
             )
         )
+        if measure_memory is not None:
+            transport.handle_input(inputs.IdleMemory(measure_memory()))
         if predecessor.service_state is not None:
             transport.handle_input(predecessor.service_state)
         if predecessor.settings is not None:
@@ -204,28 +218,8 @@
         self.flush_and_close()
 
     def flush_and_close(self) -> None:
-        """Writes the remaining output, then waits up to SHUTDOWN_LINGER_NS for clients to read it and close.
-
-        A close with unread input would reset their connections, so the output side is shut down first.
-        Input that arrives from then on is discarded and never forwarded to a server.
-        """
-        for client in self.clients.open.values():
-            try:
-                client.write_buffer.write(client.sock)
-                self.clients.log_unwritten(client)
-                client.sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                pass
-        end_ns = self.clock.now() + SHUTDOWN_LINGER_NS
-        selector = self.transport.selector
-        while (self.clients.open or self.clients.lingering.clients) and self.clock.now() < end_ns:
-            for key, _ in selector.select((end_ns - self.clock.now()) / SECOND):
-                # Not ``client``: the compiler gives that variable the type of the loop above.
-                connection = key.data
-                if not isinstance(connection, ClientConnection):
-                    selector.unregister(key.fileobj)
-                elif _has_disconnected(connection):
-                    self.clients.close(connection)
+        """Writes the remaining output, and gives clients a little time to read it."""
+        flush_and_close(self.transport, self.clients)
 
     # One iteration ----------------------------------------------------------------------------------------
 
@@ -238,6 +232,7 @@
         arrived or ``FEED_ONLY_NS`` has passed (``FeedClient.refresh_after_stall``).
         """
         started_ns = self.clock.now()
+        self.transport.resume_reading(started_ns)
         wait_s = self._wait_s(started_ns)
         if self.signals.is_reading_operator_file():
             self.signals.continue_reading_operator_file(started_ns)
@@ -283,6 +278,8 @@
             wait_s = min(wait_s, max(0, self.timers[0][0] - now) / SECOND)
         if self.feed.feed_only_until_ns:
             wait_s = min(wait_s, FEED_ONLY_NS / SECOND / 8)
+        if self.transport.paused:
+            wait_s = min(wait_s, RESUME_INTERVAL_NS / SECOND)
         return wait_s
 
     def _group_ready(self, reported: list[tuple[selectors.SelectorKey, int]]) -> ReadyConnections:
@@ -324,6 +321,7 @@
                 and connection.is_open()
                 and connection.number in self.reducer.state.requests_by_client
                 and not connection.has_full_backlog()
+                and self.clients.memory.may_read_early(connection)
             ):
                 connection.last_early_turn = self.transport.next_turn()
                 self._record_unread_time(connection, arrival)
@@ -385,7 +383,12 @@
         self.clients.dispatch_pending(connection)
 
     def _flush_in_long_iteration(self) -> None:
-        """In a long iteration, writes queued output and reads disconnects at a fixed interval."""
+        """In a long iteration, writes queued output and reads disconnects at a fixed interval.
+
+        Much queued output is written at once, as it is in memory until then.
+        """
+        if self.transport.queued_bytes > MAX_QUEUED_BYTES:
+            self.flush()
         now = self.clock.now()
         if now - self.last_flush_ns < LONG_ITERATION_FLUSH_INTERVAL_NS:
             return
@@ -414,6 +417,7 @@
         self.control.sweep(now)
         self.clients.sweep(now)
         self.servers.sweep(now)
+        self.memory_log.sweep(now)
 
     # Timers -----------------------------------------------------------------------------------------------
 
@@ -455,6 +459,10 @@
             self.response_delay_limit_ns = now + MAX_RESPONSE_DELAY_NS
         return now < self.response_delay_limit_ns and self.clients.has_unread_responses(now)
 
+    def limit_unsent_output(self, effect: effects.LimitUnsentOutput) -> None:
+        """Bounds the pooled buffers."""
+        self.transport.pool.set_limit(effect.byte_count)
+
     def _exit(self, _effect: effects.Exit) -> None:
         """Writes all queued output; ``run`` ends after this iteration."""
         self.flush()
@@ -464,13 +472,3 @@
 def _last_early_turn(ready: ReadyConnection) -> int:
     connection = ready[0]
     return connection.last_early_turn if isinstance(connection, ClientConnection) else 0
-
-
-def _has_disconnected(client: ClientConnection) -> bool:
-    """Whether a client has closed its side or its connection has failed; discards the bytes it reads."""
-    try:
-        return not client.sock.recv(BUFFER_BYTES)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/kelpcroft/net/memory.py
+++ b/kelpcroft/net/memory.py
@@ -1,4 +1,4 @@
-"""Peak memory use of this process."""
+"""Memory use of this process."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import resource
 
 PROCESS_STATUS_PATH = "/proc/self/status"
+PROCESS_MEMORY_PATH = "/proc/self/statm"
 
 
 def peak_kb(status_path: str | os.PathLike[str] = PROCESS_STATUS_PATH) -> int:
@@ -24,3 +25,12 @@
     except (OSError, ValueError, IndexError):
         pass
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
+def resident_bytes(memory_path: str | os.PathLike[str] = PROCESS_MEMORY_PATH) -> int:
+    """Returns the resident memory of this process, in bytes; 0 if it cannot be read (proc(5), ``statm``)."""
+    try:
+        with open(memory_path) as memory_file:
+            return int(memory_file.read().split()[1]) * resource.getpagesize()
+    except (OSError, ValueError, IndexError):
+        return 0
--- a/kelpcroft/net/read_estimate.py
+++ b/kelpcroft/net/read_estimate.py
@@ -59,8 +59,17 @@
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
     """Returns how many bytes in the socket's send buffer the peer has not acknowledged; 0 if unknown."""
+    return _queue_size(sock, termios.TIOCOUTQ)
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Returns how many bytes wait in the socket's receive buffer; 0 if unknown."""
+    return _queue_size(sock, termios.FIONREAD)
+
+
+def _queue_size(sock: socket.socket, request: int) -> int:
     try:
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+        size = fcntl.ioctl(sock.fileno(), request, bytes(INT_BYTES))
     except (OSError, ValueError):
         return 0
     return int.from_bytes(size, sys.byteorder)
--- a/kelpcroft/net/server_connections.py
+++ b/kelpcroft/net/server_connections.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from kelpcroft.core import effects, inputs, messages
+from kelpcroft.core.memory_budget import MemoryAccount
 from kelpcroft.net import server_codec
 from kelpcroft.net.connector import Connector
 from kelpcroft.net.transport import SECOND, WRITABLE, Connection, ConnectionHandler, Transport
@@ -24,9 +25,13 @@
     The reducer assigns its number, in ``OpenServerConnection``.
     """
 
-    def __init__(self, handler: ServerConnections, number: int, sock: socket.socket, now: int) -> None:
+    def __init__(
+        self, handler: ServerConnections, number: int, sock: socket.socket, now: int, address: str = ""
+    ) -> None:
         super().__init__(handler, sock, now)
         self.number = number
+        self.address = address
+        self.held_bytes = 0  # memory for which its incomplete response is charged
         self.codec = server_codec.ServerCodec(number)
         self.last_read_ns = now  # when bytes were last received
         self.queued_bytes = 0  # total of all bytes ever queued
@@ -41,6 +46,7 @@
     def __init__(self, transport: Transport, connector: Connector) -> None:
         super().__init__(transport)
         self.connector = connector
+        self.memory: MemoryAccount = transport.reducer.state.memory
         self.open: dict[int, ServerConnection] = {}
 
     # Effects ----------------------------------------------------------------------------------------------
@@ -56,7 +62,7 @@
             # connection was opened, so none is closed.
             self.transport.failed_opens.append(inputs.ServerConnectionLost(effect.connection, str(error)))
             return
-        connection = ServerConnection(self, effect.connection, sock, now)
+        connection = ServerConnection(self, effect.connection, sock, now, effect.address)
         self.open[effect.connection] = connection
         self.transport.set_interest(connection, WRITABLE)
 
@@ -107,11 +113,26 @@
         while unsent and unsent[0][0] <= connection.write_buffer.sent_bytes:
             unsent.popleft()
 
+    def may_read(self, connection: ServerConnection) -> bool:
+        """Whether a response is already being received, or there is memory for the body of one more."""
+        if connection.codec.body is not None:
+            return True
+        return self.memory.unfinished_responses.has_room(connection.address, server_codec.MAX_BODY_BYTES)
+
+    def charge_response(self, connection: ServerConnection) -> None:
+        """Charges a connection for the body of its incomplete response."""
+        responses = self.memory.unfinished_responses
+        responses.release(connection.address, connection.held_bytes)
+        body = connection.codec.body
+        connection.held_bytes = 0 if body is None else len(body)
+        responses.charge(connection.address, connection.held_bytes)
+
     def receive(self, connection: ServerConnection, data: memoryview) -> None:
         """Passes the responses that these bytes complete to the reducer; reports a partial response."""
         codec = connection.codec
         connection.last_read_ns = self.transport.clock.now()
         responses = codec.receive_data(data)
+        self.charge_response(connection)
         connection.read_pacer.record(len(data), len(responses))
         for response in responses:
             self.transport.handle_input(response)
@@ -142,6 +163,8 @@
 
     def close(self, connection: ServerConnection) -> None:
         """Closes and removes a connection; the reducer is not notified."""
+        self.memory.unfinished_responses.release(connection.address, connection.held_bytes)
+        connection.held_bytes = 0
         self.transport.close(connection)
         self.open.pop(connection.number, None)
 
@@ -155,6 +178,7 @@
                 self.connection_failed(connection, "accepts no more output")
             elif (
                 connection.codec.has_partial_message()
+                and not connection.is_read_paused
                 and now - connection.last_read_ns > PARTIAL_RESPONSE_TIMEOUT_NS
             ):
                 self.connection_failed(connection, "the rest of a response did not arrive in time")
--- a/kelpcroft/net/transport.py
+++ b/kelpcroft/net/transport.py
@@ -16,9 +16,10 @@
 
 from kelpcroft.config import Config
 from kelpcroft.core import effects, inputs, messages
+from kelpcroft.core.memory_limit import initial_budget
 from kelpcroft.core.reducer import Reducer
 from kelpcroft.log import EventLog
-from kelpcroft.net.buffers import BUFFER_BYTES, BufferPool, WriteBuffer
+from kelpcroft.net.buffers import BUFFER_BYTES, STORED_BUFFER_BYTES, BufferPool, WriteBuffer
 from kelpcroft.net.clock import Clock
 from kelpcroft.net.errors import ProtocolError
 from kelpcroft.net.fair_turns import ReadPacer
@@ -26,7 +27,8 @@
 SECOND: Final = 1_000_000_000
 MAX_READS_PER_ITERATION: Final = 2  # buffers read from one connection before other connections are handled
 MAX_ACCEPTS_PER_ITERATION: Final = 64  # connections accepted in a row before other connections are handled
-POOL_MEMORY_DIVISOR: Final = 3  # pooled buffers use at most the configured memory divided by this
+MAX_QUEUED_BYTES: Final = 512 * 1024  # queued output that is written before more input is handled
+RESUME_INTERVAL_NS: Final = SECOND // 100  # between two tries to read the connections that are not read
 # Errors of a socket call for lack of descriptors or kernel memory.
 OUT_OF_DESCRIPTORS_ERRORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Errors of a connect that show that nothing accepts connections at the address.
@@ -48,6 +50,7 @@
         self.write_buffer = WriteBuffer(handler.transport.pool)
         self.is_connected = False
         self.interest = NO_EVENTS  # events registered at the selector
+        self.is_read_paused = False  # not read until there is memory for its input
         self.read_pacer = ReadPacer()
         self.last_turn = handler.transport.next_turn()  # number of its last turn, or of its opening
         self.unread_since_ns = 0  # its unread input arrived after this; 0 = no input is known to wait
@@ -74,7 +77,10 @@
         buffer = self.transport.read_buffer
         try:
             for _ in range(MAX_READS_PER_ITERATION):
-                max_bytes = connection.read_pacer.max_bytes
+                if not self.may_read(connection):
+                    self.transport.pause_reading(connection)
+                    return
+                max_bytes = self.max_read_bytes(connection)
                 count = connection.sock.recv_into(buffer, max_bytes)
                 if not count:
                     self.connection_failed(connection, "")
@@ -91,6 +97,17 @@
         except OSError as error:
             self.connection_failed(connection, error.strerror or str(error))
 
+    def may_read(self, connection: C) -> bool:  # noqa: ARG002
+        """Whether there is memory for what a read may add; it is asked again before reading resumes."""
+        return True
+
+    def max_read_bytes(self, connection: C) -> int:
+        """Returns how many bytes may be read at once."""
+        return connection.read_pacer.max_bytes
+
+    def resumed(self, connection: C) -> None:
+        """Called when a connection is read again after a pause for lack of memory."""
+
     def reads_until_empty(self) -> bool:
         """Whether reading continues after a read that did not fill the buffer."""
         return False
@@ -155,10 +172,14 @@
         self.reducer = Reducer(config)
         self.selector = selectors.DefaultSelector()
         # Buffers of output that is not sent yet.
-        self.pool = BufferPool(config.memory_mb * 1024 * 1024 // POOL_MEMORY_DIVISOR // BUFFER_BYTES)
+        self.pool = BufferPool(initial_budget(config).unsent_output // STORED_BUFFER_BYTES)
         self.read_buffer = bytearray(BUFFER_BYTES)  # holds the input of one connection at a time
         self.effect_handlers: dict[type, Callable[[Any], None]] = {}  # by the exact type of the effect
         self.pending_writes: dict[Connection, None] = {}  # connections with queued output
+        self.queued_bytes = 0  # total of the queued output since the last flush
+        self.writing: Connection | None = None  # the connection that is being written to
+        self.paused: dict[Connection, None] = {}  # connections that are not read for lack of memory
+        self.last_resume_ns = 0  # when it was last tried to read them again
         self.failed_writes: list[tuple[Connection, str]] = []  # connections, each with the reason
         # Connections for which no connect could be started.
         self.failed_opens: list[inputs.ServerConnectionLost | inputs.WatchFailed] = []
@@ -215,6 +236,7 @@
             self.set_interest(connection, NO_EVENTS)
         connection.write_buffer.clear()
         self.pending_writes.pop(connection, None)
+        self.paused.pop(connection, None)
         connection.sock.close()
 
     def queue_write(
@@ -222,8 +244,28 @@
     ) -> None:
         """Queues bytes to be written at the next flush."""
         connection.write_buffer.add(chunks)
+        self.queued_bytes += sum(map(len, chunks))
         self.pending_writes[connection] = None
 
+    def pause_reading(self, connection: Connection) -> None:
+        """Leaves a connection's input in the kernel until there is memory for it."""
+        connection.is_read_paused = True
+        self.paused[connection] = None
+        self.reducer.state.memory.turned_away["connections not read"] += 1
+        self.set_interest(connection, connection.interest & ~READABLE)
+
+    def resume_reading(self, now: int) -> None:
+        """Reads paused connections again, those first that have waited longest, as far as there is memory."""
+        if now - self.last_resume_ns < RESUME_INTERVAL_NS:
+            return
+        self.last_resume_ns = now
+        for connection in list(self.paused):
+            if connection.handler.may_read(connection):
+                connection.is_read_paused = False
+                del self.paused[connection]
+                connection.handler.resumed(connection)
+                self.set_interest(connection, connection.handler.interest_of(connection))
+
     def handle_writable(self, connection: Connection) -> None:
         """Handles a connection reported as writable: a connect has finished, or there is room for output."""
         if not connection.is_connected:
@@ -239,6 +281,7 @@
     def write(self, connection: Connection) -> None:
         """Writes as much as the socket accepts; ``report_failed_writes`` reports a failure."""
         stored_before = connection.write_buffer.stored_bytes()
+        self.writing = connection
         try:
             is_stored = connection.write_buffer.write(connection.sock)
         except OSError as error:
@@ -251,7 +294,8 @@
         if not is_stored:
             self.failed_writes.append((connection, "no pooled buffer left for unsent output"))
             return
-        self.set_interest(connection, connection.handler.interest_of(connection))
+        interest = connection.handler.interest_of(connection)
+        self.set_interest(connection, interest & ~READABLE if connection.is_read_paused else interest)
         if not stored:
             connection.handler.all_written(connection)
 
@@ -265,6 +309,7 @@
         """Writes queued output."""
         pending = self.pending_writes
         self.pending_writes = {}
+        self.queued_bytes = 0
         for connection in pending:
             connection.handler.before_write(connection)
             if connection.is_connected and connection.is_open():
--- a/tests/core/test_components.py
+++ b/tests/core/test_components.py
@@ -14,7 +14,7 @@
 from kelpcroft.core.connection_pool import ATTEMPTS_BEFORE_NEW_CONNECTION, ConnectionPool
 from kelpcroft.core.state import MS, SECOND
 from kelpcroft.decision.interface import FillResult, Outcome
-from kelpcroft.net.buffers import BufferPool, WriteBuffer
+from kelpcroft.net.buffers import BUFFER_BYTES, STORED_BUFFER_BYTES, BufferPool, WriteBuffer
 from kelpcroft.net.client_codec import ClientCodec, ClientProtocolError
 from kelpcroft.net.client_connections import (
     IDLE_CLIENT_TIMEOUT_NS,
@@ -417,7 +417,7 @@
         assert codec.error != ""
 
     def test_a_write_buffer_keeps_bytes_and_releases_buffers(self) -> None:
-        pool = BufferPool(64)
+        pool = BufferPool(64 * BUFFER_BYTES // STORED_BUFFER_BYTES)
         sender, receiver = socket.socketpair()
         self.addCleanup(sender.close)
         self.addCleanup(receiver.close)
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -9,7 +9,7 @@
 
 from kelpcroft.core import effects, messages
 from kelpcroft.net.client_connections import IDLE_CLIENT_TIMEOUT_NS, SILENT_CLIENT_TIMEOUT_NS
-from kelpcroft.net.event_loop import SHUTDOWN_LINGER_NS
+from kelpcroft.net.final_flush import SHUTDOWN_LINGER_NS
 from kelpcroft.net.lingering_close import LINGERING_CLOSE_MAX_BYTES, LINGERING_CLOSE_TIMEOUT_NS
 from tests.support.loop_harness import MS, SECOND, LoopHarness, client_request, server_response
 
--- a/tests/net/test_size.py
+++ b/tests/net/test_size.py
@@ -11,7 +11,7 @@
 from kelpcroft.config import parse_config
 from kelpcroft.core import effects, inputs
 from kelpcroft.discovery.schedule import MAX_RETRY_DELAY_NS, SECOND_RETRY_DELAY_NS
-from kelpcroft.net.buffers import BUFFER_BYTES
+from kelpcroft.net.buffers import STORED_BUFFER_BYTES
 from kelpcroft.net.client_codec import ClientCodec
 from kelpcroft.net.client_connections import MAX_UNSENT_BYTES_PER_CLIENT, ClientConnection
 from kelpcroft.net.clock import Clock
@@ -84,7 +84,7 @@
             loop.clients.send(1, (bytes([n]) * 240_000,))
         loop.flush()
         peak_in_use = loop.transport.pool.in_use
-        assert peak_in_use * BUFFER_BYTES <= response_bytes + BUFFER_BYTES
+        assert peak_in_use * STORED_BUFFER_BYTES <= response_bytes + STORED_BUFFER_BYTES
         assert client.write_buffer.stored_bytes() > MAX_UNSENT_BYTES_PER_CLIENT
         assert loop.clients.interest_of(client) & 1 == 0, "not read while so much output is unsent"
         received = b""
--- a/tools/compile.py
+++ b/tools/compile.py
@@ -49,6 +49,7 @@
     "kelpcroft/core/idempotency_keys.py",
     "kelpcroft/core/request_statistics.py",
     "kelpcroft/core/connection_pool.py",
+    "kelpcroft/core/memory_budget.py",
     "kelpcroft/core/state.py",
     "kelpcroft/core/server_connections.py",
     "kelpcroft/core/health_checks.py",
@@ -69,6 +70,7 @@
     "kelpcroft/net/read_estimate.py",
     "kelpcroft/net/message_scanner.py",
     "kelpcroft/net/client_codec.py",
+    "kelpcroft/net/client_memory.py",
     "kelpcroft/net/server_codec.py",
     "kelpcroft/net/buffers.py",
     "kelpcroft/net/fair_turns.py",
@@ -83,6 +85,7 @@
     "kelpcroft/net/control_endpoint.py",
     "kelpcroft/net/signals.py",
     "kelpcroft/net/ready_connections.py",
+    "kelpcroft/net/final_flush.py",
     "kelpcroft/net/event_loop.py",
 )
 # Symbols are not exported, unused functions are removed, and there are no tables for unwinding C++
