Tables of remembered objects and idempotency keys follow the memory limit

Cause: 20,000 object histories and 65,536 idempotency keys were kept with any limit, up to 22 MB.

Change: with limits.memory_mb under 192 both tables are smaller, in proportion to what the limit leaves beside an idle process; from 192 MB up nothing changes. Where the table of keys is full, requests with new keys are rejected as before ("keys too many").

Why it works: the growth of both tables is part of what the limit leaves.

--- a/kelpcroft/core/memory_budget.py
+++ b/kelpcroft/core/memory_budget.py
@@ -14,6 +14,9 @@
 MB: Final = 1024 * 1024
 # Assumed memory of the idle process, until it is measured.
 DEFAULT_IDLE_BYTES: Final = 24 * MB
+# From this limit on, tables of remembered objects and keys have their full size.
+FULL_TABLES_LIMIT_BYTES: Final = 192 * MB
+MIN_TABLE_ENTRIES: Final = 256
 # An open connection with its socket, codec and buffers.
 CONNECTION_BYTES: Final = 4 * 1024
 # Beside all shares: what one iteration of the event loop allocates and releases again.
@@ -81,6 +84,13 @@
     )
 
 
+def table_size(max_entries: int, limit_bytes: int) -> int:
+    """Returns how many entries a table has that grows in service, of ``max_entries`` with enough memory."""
+    left_bytes = limit_bytes - DEFAULT_IDLE_BYTES
+    entries = max_entries * left_bytes // (FULL_TABLES_LIMIT_BYTES - DEFAULT_IDLE_BYTES)
+    return min(max_entries, max(MIN_TABLE_ENTRIES, entries))
+
+
 class SharedMemory:
     """Memory for one use, which peers share: their sum has a limit, and no peer can take all of it.
 
--- a/kelpcroft/core/state.py
+++ b/kelpcroft/core/state.py
@@ -14,13 +14,14 @@
 from kelpcroft.core.connection_pool import ConnectionPool, PooledConnection
 from kelpcroft.core.descriptors import allocate_descriptors
 from kelpcroft.core.effects import Effect, LogEvent, ScheduleTimer
-from kelpcroft.core.idempotency_keys import IdempotencyKeys
+from kelpcroft.core.idempotency_keys import MAX_KEYS, IdempotencyKeys
 from kelpcroft.core.inputs import ClientRequest, EndpointRecord
-from kelpcroft.core.memory_budget import MemoryAccount
+from kelpcroft.core.memory_budget import MB, MemoryAccount, table_size
 from kelpcroft.core.memory_limit import initial_budget
 from kelpcroft.core.messages import TimerKey, TimerKind
 from kelpcroft.core.request_statistics import RequestStatistics
 from kelpcroft.decision import interface as api
+from kelpcroft.decision.object_history import MAX_OBJECT_HISTORIES
 from kelpcroft.decision.policy import RoutingPolicy
 from kelpcroft.decision.statistics import mix64
 
@@ -130,7 +131,9 @@
         # The same requests, by client and the request number on its connection.
         self.requests_by_client: dict[int, dict[int, OpenRequest]] = {}
         self.open_trace_ids: set[str] = set()  # trace ids of the requests without a final response
-        self.idempotency_keys = IdempotencyKeys()
+        limit_bytes = config.memory_mb * MB
+        self.idempotency_keys = IdempotencyKeys(table_size(MAX_KEYS, limit_bytes))
+        self.policy.state.histories.max_histories = table_size(MAX_OBJECT_HISTORIES, limit_bytes)
         self.attempts: dict[int, Attempt] = {}  # by number
         self.attempt_numbers: dict[tuple[str, int], int] = {}  # attempt numbers, by request id and index
         self.health_checks: dict[int, HealthCheck] = {}  # by number
--- a/testbed/crowds.py
+++ b/testbed/crowds.py
@@ -71,9 +71,9 @@
 
 
 def encode_requests(first_trace: int, object_id: str, body_bytes: int) -> bytes:
-    """Encode as many requests as one client may have open, less one."""
+    """Encode as many requests as one client may have open, less one; without an id, each of a new object."""
     return b"".join(
-        encode_request(number, first_trace + number, object_id, body_bytes)
+        encode_request(number, first_trace + number, object_id or f"{first_trace + number:016x}", body_bytes)
         for number in range(1, REQUESTS_PER_CLIENT + 1)
     )
 
@@ -116,6 +116,7 @@
     "bodiless-requests": lambda trace: Plan(
         encode_requests(trace, SILENT_OBJECT, 0), 0.0, REQUESTS_PER_CLIENT
     ),
+    "new-objects": lambda trace: Plan(encode_requests(trace, "", 0), 0.0, REQUESTS_PER_CLIENT),
     "unread-responses": lambda trace: Plan(
         encode_requests(trace, LARGE_OBJECT, 0), 0.0, REQUESTS_PER_CLIENT, reads=False
     ),
--- a/tests/core/test_memory_budget.py
+++ b/tests/core/test_memory_budget.py
@@ -7,6 +7,7 @@
 import pytest
 
 from kelpcroft.core import effects, inputs
+from kelpcroft.core.idempotency_keys import MAX_KEYS
 from kelpcroft.core.memory_budget import (
     CONNECTION_BYTES,
     ENDPOINT_BYTES,
@@ -16,8 +17,10 @@
     MemoryBudget,
     SharedMemory,
     plan_memory,
+    table_size,
 )
 from kelpcroft.core.reducer import Reducer
+from kelpcroft.decision.object_history import MAX_OBJECT_HISTORIES
 from tests.support.reducer_fixtures import NOW, make_reducer
 
 CLIENTS = 349
@@ -73,6 +76,14 @@
         assert (memory.held_bytes, memory.held_by_peer) == (0, {})
 
 
+def test_tables_have_their_full_size_from_192_mb_up() -> None:
+    for max_entries in (MAX_KEYS, MAX_OBJECT_HISTORIES):
+        sizes = [table_size(max_entries, limit_mb * MB) for limit_mb in (1, 32, 64, 192, 2048)]
+        assert sizes == sorted(sizes)
+        assert 0 < sizes[0] < sizes[2] < max_entries
+        assert sizes[3:] == [max_entries, max_entries]
+
+
 def request(reducer: Reducer, number: int, body_bytes: int, client: int = 1) -> list[effects.Effect]:
     return reducer.handle(
         NOW,
--- a/tests/program/test_memory_limit.py
+++ b/tests/program/test_memory_limit.py
@@ -33,6 +33,12 @@
     assert is_held(outcome, LEAST_LIMIT_MB), outcome
 
 
+# The table of remembered objects had the same size with any limit.
+def test_requests_for_ever_new_objects_stay_within_the_least_limit() -> None:
+    outcome = play("many-objects", LEAST_LIMIT_MB)
+    assert is_held(outcome, LEAST_LIMIT_MB), outcome
+
+
 # Both processes of an upgrade count together, and each planned with the whole limit.
 def test_an_upgrade_under_a_crowd_stays_within_the_limit_of_both_processes() -> None:
     outcome = play("upgrade", 64)
