Without pressure no client is limited; a list too long for the limit is logged

Callers would have seen: a client that is alone, with 32 requests of 48 KB open or with slow reading, is rejected or gets failures while most of the memory is free. Found at a reading of the account, not reported.

Cause: each client's part was a fraction of what is free from the first byte on.

Change: half of each share goes to whoever comes first, the rest by parts as before. A response is replaced by a failure only if more than half of the memory for unsent output is in use. If a longer endpoint list no longer leaves enough, memory.limit says so once.

--- a/kelpcroft/core/memory_budget.py
+++ b/kelpcroft/core/memory_budget.py
@@ -94,8 +94,9 @@
 class SharedMemory:
     """Memory for one use, which peers share: their sum has a limit, and no peer can take all of it.
 
-    A peer that holds something may hold a small part of what is free in all, so that the allowance of each
-    shrinks with the number of those that hold much, and some stays free for the others.
+    Half of it goes to whoever comes first.  Of the rest, a peer that holds something may hold a small part of
+    what is free, so that the allowance of each shrinks with the number of those that hold much, and some
+    stays free for the others.
     """
 
     def __init__(self, limit_bytes: int) -> None:
@@ -109,6 +110,8 @@
 
     def has_room(self, peer: Peer, byte_count: int) -> bool:
         """Whether a peer may hold so many bytes more."""
+        if self.held_bytes + byte_count <= self.limit_bytes // 2:
+            return True
         held_bytes = self.held_by_peer.get(peer, 0)
         if not held_bytes:
             return byte_count <= self.free_bytes() // FIRST_DIVISOR
--- a/kelpcroft/core/memory_limit.py
+++ b/kelpcroft/core/memory_limit.py
@@ -45,6 +45,7 @@
         idle_bytes: Memory of the process before its first client; 0 = it was not measured.
         endpoints: Number of endpoints in the list at that time.
         grown_bytes: What the endpoint list and connections to servers take beyond that.
+        is_missing_logged: The log says that the limit cannot be held.
     """
 
     def __init__(self, state: State) -> None:
@@ -52,6 +53,7 @@
         self.idle_bytes = 0
         self.endpoints = 0
         self.grown_bytes = 0
+        self.is_missing_logged = False
 
     def on_idle_memory(self, message: IdleMemory) -> None:
         """Divide the limit, and log it; a limit that cannot be held gets a warning and the least budgets."""
@@ -60,7 +62,10 @@
         self.log(self.divide())
 
     def follow_growth(self) -> None:
-        """Divide the limit again if the number of endpoints or of connections to servers has changed."""
+        """Divide the limit again if the number of endpoints or of connections to servers has changed.
+
+        Log it once if the limit can no longer be held.
+        """
         if not self.idle_bytes:
             return
         endpoints = len(self.state.endpoints) - self.endpoints
@@ -68,7 +73,9 @@
         grown_bytes = endpoints * ENDPOINT_BYTES + connections * CONNECTION_BYTES
         if grown_bytes != self.grown_bytes:
             self.grown_bytes = grown_bytes
-            self.divide()
+            budget = self.divide()
+            if budget.missing and not self.is_missing_logged:
+                self.log(budget)
 
     def divide(self) -> MemoryBudget:
         """Set the budgets that the limit leaves beside the idle process, and return them."""
@@ -81,7 +88,9 @@
     def log(self, budget: MemoryBudget) -> None:
         """Log the budgets, and whether the limit can be held."""
         state = self.state
-        limit_mb, idle_mb = state.config.memory_mb, self.idle_bytes / MB
+        self.is_missing_logged = budget.missing > 0
+        idle_bytes = self.idle_bytes + self.grown_bytes
+        limit_mb, idle_mb = state.config.memory_mb, idle_bytes / MB
         text = f"memory limit {limit_mb} MB, of which the idle process takes {idle_mb:.1f} MB"
         if budget.missing:
             needed_mb = limit_mb + budget.missing / MB
@@ -92,7 +101,7 @@
             "warning" if budget.missing else "info",
             {
                 "limit_mb": limit_mb,
-                "idle_kb": self.idle_bytes // 1024,
+                "idle_kb": idle_bytes // 1024,
                 "missing_kb": budget.missing // 1024,
                 "unfinished_messages_kb": budget.unfinished_messages // 1024,
                 "open_requests_kb": budget.open_requests // 1024,
--- a/kelpcroft/net/client_memory.py
+++ b/kelpcroft/net/client_memory.py
@@ -123,11 +123,11 @@
     # Output -----------------------------------------------------------------------------------------------
 
     def has_room_for_response(self, client: ClientConnection, byte_count: int) -> bool:
-        """Whether a response may be queued; a client that reads its responses as they come always may."""
+        """Whether a response may be queued; for a client that has read those before it always may."""
         stored_bytes = client.write_buffer.stored_bytes()
-        if not stored_bytes or byte_count <= STORED_BUFFER_BYTES:
+        free_bytes, used_bytes = self.transport.pool.free_bytes(), self.transport.pool.used_bytes()
+        if not stored_bytes or byte_count <= STORED_BUFFER_BYTES or used_bytes + byte_count <= free_bytes:
             return True
-        free_bytes = self.transport.pool.free_bytes()
         if stored_bytes + byte_count <= free_bytes // FURTHER_DIVISOR:
             return True
         self.account.turned_away["responses replaced by a failure"] += 1
