A client that stops while it is not read is closed

Callers would have seen: clients that stop two kilobytes into a large request, while memory is short, keep their places for as long as that lasts, and new clients find none.

Cause: a client that is not read counts as one whose input waits, so no time limit applied to it. A closing client that was not read could take a reservation for a moment.

Change: a client that is not read is closed if nothing has arrived in its socket for 2 s and no response to it is due. One that holds a reservation while others wait is closed after 1 s of silence (0.5 s before), as a message that is complete in the kernel needs no reservation. A closing client is read again at once.

--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -69,7 +69,8 @@
         self.closing_since_ns = 0
         self.has_misbehaved = False  # its connection was closed for what it sent
         self.discarded_bytes = 0  # bytes of input discarded since ``closing_since_ns``
-        self.last_read_ns = now  # when bytes were last received
+        self.last_arrival_ns = now  # when bytes were last received, or found to have arrived in the socket
+        self.waiting_bytes = 0  # bytes found in the socket while it is not read
         self.has_reservation = False  # memory for its incomplete message is reserved
         self.pending_bytes = 0  # memory for which its pending messages are charged
 
@@ -162,7 +163,7 @@
 
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether there is memory for what a read may add to the client's incomplete message."""
-        if self.memory.may_read(connection):
+        if connection.is_closing or self.memory.may_read(connection):
             return True
         # The input waits from now on: its time in the socket counts when it is read.
         connection.unread_since_ns = connection.unread_since_ns or self.transport.clock.now() - self.queued_ns
--- a/kelpcroft/net/client_memory.py
+++ b/kelpcroft/net/client_memory.py
@@ -27,8 +27,10 @@
 
 # Size of an incomplete message that needs no reservation.
 SMALL_MESSAGE_BYTES: Final = 2 * 1024
-# A client may be closed for others that wait if its incomplete message has not grown for this long.
-STALLED_MESSAGE_NS: Final = SECOND // 2
+# A client with a reservation may be closed for others that wait if it has sent nothing for this long.
+STALLED_MESSAGE_NS: Final = SECOND
+# A client that is not read is closed if nothing more of its message has arrived for this long.
+STOPPED_MESSAGE_NS: Final = 2 * SECOND
 # A client may be closed for others' output if it has accepted none for this long.
 STALLED_OUTPUT_NS: Final = SECOND // 4
 # On loopback a segment has up to 64 KB, and a receive window of less than two segments may stay closed.
@@ -70,7 +72,8 @@
 
     def after_read(self, client: ClientConnection) -> None:
         """Returns the reservation of a client whose incomplete message is small."""
-        client.last_read_ns = self.transport.clock.now()
+        client.last_arrival_ns = self.transport.clock.now()
+        client.waiting_bytes = 0
         if len(client.codec.partial) < SMALL_MESSAGE_BYTES:
             self.return_reservation(client)
 
@@ -78,7 +81,7 @@
         """Called when a client is read again: the time in which it was not read does not count as its own."""
         if client.codec.has_partial_message():
             client.partial_since_ns = self.transport.clock.now()
-            client.last_read_ns = client.partial_since_ns
+            client.last_arrival_ns = client.partial_since_ns
 
     def _reserve(self, client: ClientConnection) -> bool:
         messages = self.account.unfinished_messages
@@ -158,22 +161,33 @@
     # Sweep ------------------------------------------------------------------------------------------------
 
     def sweep(self, now: int) -> None:
-        """Closes clients that have left while unread, and stalled ones whose reservation others wait for."""
+        """Closes clients that have left while unread, and those that have stopped within a message."""
         unread = [client for client in self.clients.open.values() if client.is_read_paused]
         for client in unread:
             if _has_peer_closed(client.sock):
                 self.clients.connection_failed(client, "")
+            elif self._has_stopped_unread(client, now):
+                self._close_stopped(client)
         if not unread:
             return
         for client in list(self.clients.open.values()):
-            if (
-                client.has_reservation
-                and now - client.last_read_ns >= STALLED_MESSAGE_NS
-                and self.clients.is_idle(client)
-                and not client.has_unread_input()
-            ):
-                self.account.turned_away["clients closed within a message"] += 1
-                self.clients.close_gracefully(client, "stopped within a message while memory is short")
+            is_stalled = client.has_reservation and now - client.last_arrival_ns >= STALLED_MESSAGE_NS
+            if is_stalled and not client.has_unread_input():
+                self._close_stopped(client)
+
+    def _has_stopped_unread(self, client: ClientConnection, now: int) -> bool:
+        """Whether nothing has arrived for long in the socket of a client that is not read."""
+        waiting_bytes = unread_bytes(client.sock)
+        if waiting_bytes != client.waiting_bytes:
+            client.waiting_bytes = waiting_bytes
+            client.last_arrival_ns = now
+        return now - client.last_arrival_ns >= STOPPED_MESSAGE_NS
+
+    def _close_stopped(self, client: ClientConnection) -> None:
+        """Closes a client that has stopped within a message, unless a response to it is due."""
+        if self.clients.is_idle(client):
+            self.account.turned_away["clients closed within a message"] += 1
+            self.clients.close_gracefully(client, "stopped within a message while memory is short")
 
 
 def enlarge_receive_buffer(sock: socket.socket) -> None:
--- a/tests/net/test_memory_pressure.py
+++ b/tests/net/test_memory_pressure.py
@@ -6,7 +6,7 @@
 
 from kelpcroft.net.buffers import STORED_BUFFER_BYTES
 from kelpcroft.net.client_codec import MAX_MESSAGE_BYTES
-from kelpcroft.net.client_memory import SMALL_MESSAGE_BYTES, STALLED_MESSAGE_NS
+from kelpcroft.net.client_memory import SMALL_MESSAGE_BYTES, STALLED_MESSAGE_NS, STOPPED_MESSAGE_NS
 from kelpcroft.net.server_codec import MAX_BODY_BYTES
 from tests.support.loop_harness import MS, LoopHarness, Peer, client_request, server_response
 
@@ -80,7 +80,7 @@
     def test_a_stalled_client_is_closed_only_if_others_wait(self) -> None:
         t = self.harness()
         stalled = self.stalled_client(t)
-        t.iterate(2 * STALLED_MESSAGE_NS)
+        t.iterate(STALLED_MESSAGE_NS + 100 * MS)
         stalled.read()
         assert not stalled.ended
         self.waiting_client(t)
@@ -90,6 +90,36 @@
         assert not stalled.reset
         assert t.loop.reducer.state.memory.turned_away["clients closed within a message"] == 1
 
+    def test_a_client_that_stops_while_it_is_not_read_is_closed(self) -> None:
+        """It would keep its place until the memory is free, for hundreds of such clients."""
+        t = self.harness()
+        _, cache = t.served_client()
+        busy = t.client()
+        busy.send(client_request(7, trace=f"{0xDDDD:016x}"))
+        t.run_until(lambda: f"{0xDDDD:016x}" in cache.attempt_ids(), "the request is forwarded")
+        busy.send(client_request(8, body=LARGE_BODY)[:20_000])  # holds the reservation with a request open
+        t.iterate(10 * MS)
+        waiting, rest = self.waiting_client(t)
+        waiting.send(rest[:10])
+        t.iterate(STOPPED_MESSAGE_NS)
+        waiting.read()
+        assert not waiting.ended
+        t.iterate(300 * MS)
+        waiting.read()
+        assert waiting.ended
+
+    def test_a_client_that_is_closed_while_it_is_not_read_gets_no_reservation(self) -> None:
+        t = self.harness()
+        self.stalled_client(t)
+        self.waiting_client(t)
+        waiting_client = next(iter(t.loop.transport.paused))
+        t.loop.clients.close_gracefully(waiting_client)  # type: ignore[arg-type]
+        messages = t.loop.reducer.state.memory.unfinished_messages
+        messages.limit_bytes = 2 * MAX_MESSAGE_BYTES
+        t.iterate(30 * MS)
+        assert t.loop.transport.paused == {}
+        assert messages.held_bytes == MAX_MESSAGE_BYTES, "that of the stalled client"
+
     def test_a_stalled_client_with_an_open_request_is_not_closed_for_others(self) -> None:
         t = self.harness()
         _, cache = t.served_client()
@@ -99,7 +129,7 @@
         stalled.send(client_request(8, body=LARGE_BODY)[:20_000])
         t.iterate(10 * MS)
         self.waiting_client(t)
-        t.iterate(2 * STALLED_MESSAGE_NS)
+        t.iterate(STALLED_MESSAGE_NS + 300 * MS)
         stalled.read()
         assert not stalled.ended
         cache.send(server_response(f"{0xDDDD:016x}"))
