--- a/tests/program/test_memory_limit.py
+++ b/tests/program/test_memory_limit.py
@@ -6,10 +6,12 @@
 
 from benchmarks.memory_limit import SCENARIOS, Bench, Outcome, is_held
 from testbed.crowds import KINDS, Crowd, crowd_server
+from testbed.memory_soak import MemorySoak
 from testbed.stand_ins import PROGRAM_DIR, StandInServers
 from tests.support.upgrade import wait_for
 
 LEAST_LIMIT_MB = 32  # the least that the operators' pages name
+SOAK_SEEDS = range(1, 9)
 
 
 def play(scenario: str, limit_mb: int) -> Outcome:
@@ -62,3 +64,10 @@
     assert 0 < short[0]["resident_kb"] <= LEAST_LIMIT_MB * 1024
     (limit,) = [event for event in events if event["event"] == "memory.limit"]
     assert limit["limit_mb"] == LEAST_LIMIT_MB
+
+
+# Crowds, signals and limits in combinations that no other test names; `benchmarks.memory_soak` runs more.
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_a_process_keeps_its_limit_and_its_promises_under_crowds_and_signals(seed: int) -> None:
+    result = MemorySoak(seed, PROGRAM_DIR).run()
+    assert result.faults == [], result
