A read that finds nothing returns the reservation for a message

Callers would have seen: under load, idle clients that behave hold the few reservations of a small limit, and are closed a second later for others that wait.

Cause: the reservation was returned after bytes were received; a second read in a turn, which a busy process makes of every client, finds nothing and kept it.

The crowds of the testbed wait up to 12 s for responses, so that a busy machine decides nothing.

--- a/kelpcroft/net/client_connections.py
+++ b/kelpcroft/net/client_connections.py
@@ -160,6 +160,7 @@
             self.lingering.discard_input(connection)
         else:
             super().read(connection)
+            self.memory.after_read(connection)
 
     def may_read(self, connection: ClientConnection) -> bool:
         """Whether there is memory for what a read may add to the client's incomplete message."""
@@ -190,6 +191,8 @@
         messages = connection.codec.receive_data(data, self.queued_ns)
         connection.read_pacer.record(len(data), _work_of(messages))
         now = self.transport.clock.now()
+        connection.last_arrival_ns = now
+        connection.waiting_bytes = 0
         if messages:
             connection.has_sent_message = True
             connection.last_message_ns = now
@@ -205,7 +208,6 @@
                 connection.pending_messages.append((now, message))
                 self.memory.charge_pending(connection, message)
                 self.clients_with_pending[connection] = None
-        self.memory.after_read(connection)
 
     def cancel(self, client: ClientConnection, request_numbers: frozenset[int]) -> None:
         """Cancels a client's requests; numbers of requests that are not open cost nothing."""
--- a/kelpcroft/net/client_memory.py
+++ b/kelpcroft/net/client_memory.py
@@ -2,10 +2,9 @@
 
 Bytes that wait in the kernel cost the process nothing, so a client is first left unread: without a
 reservation, a client may have a small incomplete message only, and is read again when the rest of its message
-waits in the kernel.  A client that holds a reservation and stops
-within its message is closed if others wait for one, and of the clients that do not read their responses the
-one that has stopped longest.  Requests that have been read are never dropped for memory: the reducer rejects
-those for which there is no room.
+waits in the kernel.  A client that holds a reservation and stops within its message is closed if others wait
+for one, and of the clients that do not read their responses the one that has stopped longest.  Requests that
+have been read are never dropped for memory: the reducer rejects those for which there is no room.
 """
 
 from __future__ import annotations
@@ -71,9 +70,7 @@
         return self.account.open_requests.has_room(client.number, MAX_MESSAGE_BYTES)
 
     def after_read(self, client: ClientConnection) -> None:
-        """Returns the reservation of a client whose incomplete message is small."""
-        client.last_arrival_ns = self.transport.clock.now()
-        client.waiting_bytes = 0
+        """Returns the reservation of a client whose incomplete message is small, also if nothing was read."""
         if len(client.codec.partial) < SMALL_MESSAGE_BYTES:
             self.return_reservation(client)
 
--- a/testbed/crowds.py
+++ b/testbed/crowds.py
@@ -39,7 +39,8 @@
 LARGE_OBJECT = "1a49e00000000000"  # its response has OBJECT_BYTES
 CUT_OBJECT = "c070000000000000"  # servers send half of a response of OBJECT_BYTES
 READ_BYTES = 1 << 16
-ANSWER_TIMEOUT_S = 4.0  # a behaving client that waits longer than this counts its request as unanswered
+# A request without a response after this counts as unanswered, also on a busy machine.
+ANSWER_TIMEOUT_S = 12.0
 CROSSING_S = 0.05  # a request that crosses the close of an idle connection by less is sent again, once
 PAUSE_S = 0.03  # between two requests of a behaving client
 
@@ -174,7 +175,7 @@
         if not self.clients:
             self.connect()
         started_s = time.monotonic()
-        end_s = started_s + max(hold_s, PATIENCE_MS / 1_000 + SLOW_WRITE_S + 1.0)
+        end_s = started_s + hold_s + ANSWER_TIMEOUT_S
         while time.monotonic() < end_s:
             elapsed_s = time.monotonic() - started_s
             if elapsed_s > hold_s and not self.result().unanswered:
--- a/tests/net/test_memory_pressure.py
+++ b/tests/net/test_memory_pressure.py
@@ -7,6 +7,7 @@
 from kelpcroft.net.buffers import STORED_BUFFER_BYTES
 from kelpcroft.net.client_codec import MAX_MESSAGE_BYTES
 from kelpcroft.net.client_memory import SMALL_MESSAGE_BYTES, STALLED_MESSAGE_NS, STOPPED_MESSAGE_NS
+from kelpcroft.net.fair_turns import FIRST_CLIENT_READ_BYTES
 from kelpcroft.net.server_codec import MAX_BODY_BYTES
 from tests.support.loop_harness import MS, LoopHarness, Peer, client_request, server_response
 
@@ -77,6 +78,15 @@
         t.iterate(20 * MS)
         self.serve(t, waiting, cache, 2, 0xBBBB)
 
+    def test_a_client_without_a_large_message_keeps_no_reservation(self) -> None:
+        """A read that found nothing kept it, and the idle client was closed a second later for others."""
+        t = self.harness()
+        client, cache = t.served_client()
+        request = client_request(2)
+        client.send(client_request(2, body=bytes(FIRST_CLIENT_READ_BYTES - len(request) - 1)))
+        t.run_until(lambda: f"{2:016x}" in cache.attempt_ids(), "the request is forwarded")
+        assert t.loop.reducer.state.memory.unfinished_messages.held_bytes == 0
+
     def test_a_stalled_client_is_closed_only_if_others_wait(self) -> None:
         t = self.harness()
         stalled = self.stalled_client(t)
